--- /dev/null
+++ b/src/entry/blackboard.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "blackboard/topic.h"
+#include "configuration/configurationstate.h"
+#include "membership/cellplan.h"
+#include "platform/platformview.h"
+
+namespace lycheebay {
+
+/// What the controllers of one daemon share. Each topic has one writer; anyone reads.
+struct Blackboard
+{
+    /// Written by the configuration follower.
+    Topic<ConfigurationState> configuration;
+    /// Written by the membership service.
+    Topic<CellPlan> plan;
+    /// Written by the platform poller.
+    Topic<PlatformView> platform;
+};
+
+} // namespace lycheebay
