Add tickets, the at-most-once table and crash suspects

Change: the module outcomes decides without a clock or a lock of its own which key may run, what is replayed and which request is suspected of crashing targets. Measured: outcomes_tests passes with 11 tests. Conclusion: an entry is kept for the retention of its ticket and an unknown key runs only within the shorter life, so no forgotten key can run.

--- /dev/null
+++ b/src/outcomes/crashsuspects.cpp
@@ -0,0 +1,130 @@
+#include "outcomes/crashsuspects.h"
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+/// From this number of strikes on, a request is refused.
+constexpr int kRefusedStrikes = 2;
+
+} // namespace
+
+CrashSuspects::CrashSuspects(const SuspectLimits &limits)
+    : m_limits(limits)
+{}
+
+Admission CrashSuspects::admit(Fingerprint fingerprint, TimePoint now)
+{
+    Suspect *suspect = find(fingerprint, now);
+    if (!suspect)
+        return Admission::Free;
+    if (now < suspect->refusedUntil)
+        return Admission::Refused;
+    if (suspect->running)
+        return Admission::Busy;
+    suspect->running = true;
+    return Admission::Alone;
+}
+
+void CrashSuspects::release(Fingerprint fingerprint)
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it != m_suspects.end())
+        it->second.running = false;
+}
+
+SharedSuspect CrashSuspects::strike(Fingerprint fingerprint,
+                                    const std::vector<std::string> &homeRegions,
+                                    TimePoint attemptBegan, TimePoint now)
+{
+    Suspect *suspect = find(fingerprint, now);
+    if (suspect && attemptBegan < suspect->lastStrike)
+        return {};
+    if (!suspect)
+        suspect = &insert(fingerprint);
+    suspect->strikes = std::min(suspect->strikes + 1, kRefusedStrikes);
+    suspect->lastStrike = now;
+    suspect->homeRegions = homeRegions;
+    Duration remaining = m_limits.memory;
+    if (suspect->strikes >= kRefusedStrikes) {
+        suspect->refusedUntil = now + m_limits.refusal;
+        remaining = m_limits.refusal;
+    }
+    // After a refusal the suspect is remembered for as long again, so that the next crash refuses
+    // it at once.
+    setExpiry(fingerprint, *suspect, std::max(suspect->refusedUntil, now) + m_limits.memory);
+    return { fingerprint, suspect->strikes, remaining, homeRegions };
+}
+
+void CrashSuspects::succeed(Fingerprint fingerprint)
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it != m_suspects.end())
+        erase(it);
+}
+
+void CrashSuspects::adopt(const SharedSuspect &shared, TimePoint now)
+{
+    if (shared.strikes <= 0 || shared.remaining <= Duration::zero())
+        return;
+    Suspect *suspect = find(shared.fingerprint, now);
+    if (!suspect)
+        suspect = &insert(shared.fingerprint);
+    suspect->strikes = std::clamp(shared.strikes, suspect->strikes, kRefusedStrikes);
+    suspect->lastStrike = now;
+    suspect->homeRegions = shared.homeRegions;
+    if (shared.strikes >= kRefusedStrikes) {
+        const TimePoint until = now + std::min(shared.remaining, m_limits.refusal);
+        suspect->refusedUntil = std::max(suspect->refusedUntil, until);
+    }
+    const Duration remaining = std::min(shared.remaining, m_limits.memory);
+    setExpiry(shared.fingerprint, *suspect, std::max(suspect->refusedUntil, now + remaining));
+}
+
+Duration CrashSuspects::refusedFor(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end() || it->second.refusedUntil <= now)
+        return Duration::zero();
+    return it->second.refusedUntil - now;
+}
+
+CrashSuspects::Suspect *CrashSuspects::find(Fingerprint fingerprint, TimePoint now)
+{
+    while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= now)
+        erase(m_suspects.find(m_byExpiry.begin()->second));
+    const auto it = m_suspects.find(fingerprint);
+    return it == m_suspects.end() ? nullptr : &it->second;
+}
+
+CrashSuspects::Suspect &CrashSuspects::insert(Fingerprint fingerprint)
+{
+    if (m_suspects.size() >= m_limits.maxSuspects && !m_byExpiry.empty())
+        erase(m_suspects.find(m_byExpiry.begin()->second));
+    return m_suspects[fingerprint];
+}
+
+void CrashSuspects::setExpiry(Fingerprint fingerprint, Suspect &suspect, TimePoint expiry)
+{
+    const auto range = m_byExpiry.equal_range(suspect.expiry);
+    const auto old = std::find_if(range.first, range.second,
+                                  [&](const auto &it) { return it.second == fingerprint; });
+    if (old != range.second)
+        m_byExpiry.erase(old);
+    suspect.expiry = expiry;
+    m_byExpiry.emplace(expiry, fingerprint);
+}
+
+void CrashSuspects::erase(Suspects::iterator it)
+{
+    const auto range = m_byExpiry.equal_range(it->second.expiry);
+    const auto old = std::find_if(range.first, range.second,
+                                  [&](const auto &entry) { return entry.second == it->first; });
+    if (old != range.second)
+        m_byExpiry.erase(old);
+    m_suspects.erase(it);
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/outcomes/httpmessage.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheebay {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const HttpHeader &) const = default;
+};
+
+/// In order of appearance; names compare without case.
+using HttpHeaders = std::vector<HttpHeader>;
+
+struct HttpRequest
+{
+    std::string method;
+    /// Path and query as sent, not decoded.
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+
+    auto operator<=>(const HttpRequest &) const = default;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+
+    auto operator<=>(const HttpResponse &) const = default;
+};
+
+bool sameHeaderName(std::string_view a, std::string_view b);
+/// Returns the value of the first header of that name, or null. The pointer lives as long as
+/// \a headers are unchanged.
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
+std::size_t countHeader(const HttpHeaders &headers, std::string_view name);
+/// Replaces every header of that name.
+void setHeader(HttpHeaders &headers, std::string_view name, std::string value);
+void removeHeader(HttpHeaders &headers, std::string_view name);
+/// Returns the headers that are meant for the other end: without hop-by-hop headers (RFC 9110,
+/// 7.6.1), those that Connection names, Host and Content-Length.
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/outcomes/outcometable.cpp
@@ -0,0 +1,201 @@
+#include "outcomes/outcometable.h"
+
+#include "base/hash.h"
+#include "base/invariant.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+/// Estimated memory of an entry beside its key and response.
+constexpr std::size_t kEntryBytes = 256;
+/// Entries forgotten by one begin(), so that no single request pays for a long idle time.
+constexpr int kMaxForgottenPerCall = 64;
+
+std::size_t responseBytes(const HttpResponse &response)
+{
+    std::size_t bytes = sizeof(HttpResponse) + response.body.size();
+    for (const HttpHeader &header : response.headers)
+        bytes += sizeof(HttpHeader) + header.name.size() + header.value.size();
+    return bytes;
+}
+
+} // namespace
+
+RequestIdentity identifyRequest(const HttpRequest &request, std::string_view tenant)
+{
+    // Lengths keep the fields apart: no two requests give the same text.
+    const std::string text =
+            fmt::format("{}:{}:{}:{}\n{}{}{}{}", request.method.size(), request.target.size(),
+                        tenant.size(), request.body.size(), request.method, request.target, tenant,
+                        request.body);
+    return { hash64(text, 1), hash64(text, 2) };
+}
+
+struct OutcomeTable::Entry : ListNode<BodyTag>
+{
+    enum class Phase { Running, Done, Unknown };
+
+    std::string key;
+    RequestIdentity identity;
+    TimePoint expiry;
+    Phase phase = Phase::Running;
+    std::shared_ptr<const HttpResponse> response;
+};
+
+bool OutcomeTable::ByExpiry::operator()(const Entry *a, const Entry *b) const
+{
+    return a->expiry != b->expiry ? a->expiry < b->expiry : a < b;
+}
+
+OutcomeTable::OutcomeTable(const OutcomeLimits &limits, std::uint64_t incarnation)
+    : m_limits(limits)
+    , m_incarnation(incarnation)
+    , m_withBody(std::make_unique<IntrusiveList<Entry, BodyTag>>())
+{
+    LYCHEEBAY_INVARIANT(limits.retention > limits.ticketLife,
+                        "a key must be remembered for longer than it may run");
+}
+
+OutcomeTable::~OutcomeTable() = default;
+
+KeyDecision OutcomeTable::begin(const IdempotencyKey &key, const RequestIdentity &identity,
+                                TimePoint now)
+{
+    forgetExpired(now);
+    if (key.ticket.incarnation != m_incarnation)
+        return { KeyState::Unknown, nullptr };
+    const auto it = m_entries.find(key.text);
+    if (it != m_entries.end())
+        return decideKnown(*it->second, identity);
+    return decideNew(key, identity, now - key.ticket.issuedAt);
+}
+
+KeyDecision OutcomeTable::decideKnown(const Entry &entry, const RequestIdentity &identity) const
+{
+    if (entry.identity != identity)
+        return { KeyState::Conflict, nullptr };
+    if (entry.phase == Entry::Phase::Running)
+        return { KeyState::Wait, nullptr };
+    if (entry.phase == Entry::Phase::Unknown)
+        return { KeyState::Unknown, nullptr };
+    if (!entry.response)
+        return { KeyState::DoneWithoutBody, nullptr };
+    return { KeyState::Replay, entry.response };
+}
+
+KeyDecision OutcomeTable::decideNew(const IdempotencyKey &key, const RequestIdentity &identity,
+                                    Duration age)
+{
+    if (age < Duration::zero())
+        return { KeyState::Invalid, nullptr };
+    if (age >= m_limits.retention)
+        return { KeyState::Unknown, nullptr };
+    if (age >= m_limits.ticketLife)
+        return { KeyState::ExpiredNotRun, nullptr };
+    const std::size_t bytes = kEntryBytes + key.text.size();
+    if (m_entries.size() >= m_limits.maxEntries)
+        return { KeyState::Full, nullptr };
+    dropOldestBodies(bytes);
+    if (m_bytes + bytes > m_limits.maxBytes)
+        return { KeyState::Full, nullptr };
+    auto entry = std::make_unique<Entry>();
+    entry->key = key.text;
+    entry->identity = identity;
+    entry->expiry = key.ticket.issuedAt + m_limits.retention;
+    m_byExpiry.insert(entry.get());
+    m_entries.emplace(key.text, std::move(entry));
+    m_bytes += bytes;
+    ++m_running;
+    return { KeyState::Run, nullptr };
+}
+
+void OutcomeTable::completeDone(std::string_view key, std::shared_ptr<const HttpResponse> response)
+{
+    Entry *entry = running(key);
+    if (!entry)
+        return;
+    --m_running;
+    entry->phase = Entry::Phase::Done;
+    const std::size_t bytes = response ? responseBytes(*response) : 0;
+    if (bytes == 0 || bytes > m_limits.maxResponseBytes)
+        return;
+    dropOldestBodies(bytes);
+    if (m_bytes + bytes > m_limits.maxBytes)
+        return;
+    entry->response = std::move(response);
+    m_bytes += bytes;
+    m_withBody->pushBack(entry);
+}
+
+void OutcomeTable::completeNotRun(std::string_view key)
+{
+    Entry *entry = running(key);
+    if (!entry)
+        return;
+    --m_running;
+    // Without an entry the key runs within its ticket's life and is "not run" after it: both true.
+    m_byExpiry.erase(entry);
+    erase(*entry);
+}
+
+void OutcomeTable::completeUnknown(std::string_view key)
+{
+    Entry *entry = running(key);
+    if (!entry)
+        return;
+    --m_running;
+    entry->phase = Entry::Phase::Unknown;
+}
+
+OutcomeTable::Entry *OutcomeTable::running(std::string_view key)
+{
+    const auto it = m_entries.find(key);
+    const bool found = it != m_entries.end() && it->second->phase == Entry::Phase::Running;
+    LYCHEEBAY_INVARIANT(found, "only a running key is completed, and once");
+    return found ? it->second.get() : nullptr;
+}
+
+void OutcomeTable::forgetExpired(TimePoint now)
+{
+    auto it = m_byExpiry.begin();
+    for (int i = 0; i < kMaxForgottenPerCall && it != m_byExpiry.end(); ++i) {
+        Entry *entry = *it;
+        if (now < entry->expiry)
+            return;
+        if (entry->phase == Entry::Phase::Running) {
+            ++it;
+            continue;
+        }
+        it = m_byExpiry.erase(it);
+        erase(*entry);
+    }
+}
+
+void OutcomeTable::dropOldestBodies(std::size_t room)
+{
+    while (m_bytes + room > m_limits.maxBytes && !m_withBody->empty())
+        dropBody(*m_withBody->front());
+}
+
+void OutcomeTable::dropBody(Entry &entry)
+{
+    if (!entry.response)
+        return;
+    m_bytes -= responseBytes(*entry.response);
+    entry.response.reset();
+    entry.unlink();
+}
+
+void OutcomeTable::erase(Entry &entry)
+{
+    dropBody(entry);
+    m_bytes -= kEntryBytes + entry.key.size();
+    m_entries.erase(m_entries.find(entry.key));
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -0,0 +1,196 @@
+#include "base/manualclock.h"
+#include "outcomes/crashsuspects.h"
+#include "outcomes/outcometable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lycheebay {
+
+using namespace std::chrono_literals;
+
+class OutcomesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OutcomesTest);
+    CPPUNIT_TEST(ticketHasOneSpelling);
+    CPPUNIT_TEST(keyRunsOnceAndIsReplayed);
+    CPPUNIT_TEST(keyWithAnotherBodyConflicts);
+    CPPUNIT_TEST(forgottenKeyNeverRuns);
+    CPPUNIT_TEST(ticketOfAnotherIncarnationIsUnknown);
+    CPPUNIT_TEST(fullTableRefusesAndKeepsWhatItHas);
+    CPPUNIT_TEST(bodiesAreDroppedBeforeKeys);
+    CPPUNIT_TEST(notRunMayRunAgainAndUnknownMayNot);
+    CPPUNIT_TEST(suspectRunsAloneAndIsThenRefused);
+    CPPUNIT_TEST(runsLostTogetherCountOnce);
+    CPPUNIT_TEST(suspectsAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t kSelf = 7;
+
+    KeyState begin(const std::string &suffix, std::uint64_t body = 1)
+    {
+        const std::string text = formatTicket(m_ticket) + "~" + suffix;
+        return m_table->begin(*parseIdempotencyKey(text), { body, body }, m_clock.now()).state;
+    }
+    std::string key(const std::string &suffix) { return formatTicket(m_ticket) + "~" + suffix; }
+    static std::shared_ptr<const HttpResponse> response(std::size_t size)
+    {
+        return std::make_shared<const HttpResponse>(HttpResponse{ 200, {}, std::string(size, 'x') });
+    }
+    void useLimits(const OutcomeLimits &limits)
+    {
+        m_table = std::make_unique<OutcomeTable>(limits, kSelf);
+    }
+
+    ManualClock m_clock;
+    TicketIssuer m_issuer{ kSelf };
+    Ticket m_ticket = m_issuer.issue(m_clock.now());
+    std::unique_ptr<OutcomeTable> m_table = std::make_unique<OutcomeTable>(OutcomeLimits{}, kSelf);
+
+public:
+    // Guards against two keys for one request, and against malformed input.
+    void ticketHasOneSpelling()
+    {
+        const std::string text = formatTicket(m_ticket);
+        CPPUNIT_ASSERT(*parseTicket(text) == m_ticket);
+        const std::vector<std::string> badTickets{
+            text + " ", "lb1.7.1.1", "lb1", "", "lb2" + text.substr(3), text + ".1",
+            "lb1.000000000000000A.1.1", "lb1.0000000000000007.01.1", "lb1.0000000000000007.-1.1",
+            "lb1.0000000000000007.99999999999999999.1",
+        };
+        for (const std::string &bad : badTickets)
+            CPPUNIT_ASSERT_MESSAGE(bad, !parseTicket(bad).ok());
+        const std::vector<std::string> badKeys{ text, text + "~", text + "~a b", text + "~a~b",
+                                                text + "~" + std::string(129, 'a') };
+        for (const std::string &bad : badKeys)
+            CPPUNIT_ASSERT_MESSAGE(bad, !parseIdempotencyKey(bad).ok());
+    }
+
+    // Guards against a second run of a key.
+    void keyRunsOnceAndIsReplayed()
+    {
+        CPPUNIT_ASSERT(begin("a") == KeyState::Run);
+        CPPUNIT_ASSERT(begin("a") == KeyState::Wait);
+        m_table->completeDone(key("a"), response(3));
+        CPPUNIT_ASSERT(begin("a") == KeyState::Replay);
+        m_clock.advance(9min);
+        CPPUNIT_ASSERT(begin("a") == KeyState::Replay);
+    }
+
+    // Guards against a response to another request.
+    void keyWithAnotherBodyConflicts()
+    {
+        begin("a", 1);
+        CPPUNIT_ASSERT(begin("a", 2) == KeyState::Conflict);
+        m_table->completeDone(key("a"), response(3));
+        CPPUNIT_ASSERT(begin("a", 2) == KeyState::Conflict);
+    }
+
+    // Guards against a run of a key whose entry may have been dropped.
+    void forgottenKeyNeverRuns()
+    {
+        begin("a");
+        m_table->completeDone(key("a"), response(3));
+        m_clock.advance(60s);
+        CPPUNIT_ASSERT(begin("new") == KeyState::ExpiredNotRun);
+        m_clock.advance(9min);
+        CPPUNIT_ASSERT(begin("a") == KeyState::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_table->entryCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_table->byteCount());
+        m_ticket.issuedAt = m_clock.now() + 1ms;
+        CPPUNIT_ASSERT(begin("future") == KeyState::Invalid);
+    }
+
+    // Guards against a run by an incarnation that never saw the key's earlier run.
+    void ticketOfAnotherIncarnationIsUnknown()
+    {
+        m_ticket.incarnation = kSelf + 1;
+        CPPUNIT_ASSERT(begin("a") == KeyState::Unknown);
+    }
+
+    // Guards against an overflow that evicts a key which could then run again.
+    void fullTableRefusesAndKeepsWhatItHas()
+    {
+        useLimits({ .maxEntries = 2 });
+        begin("a");
+        begin("b");
+        CPPUNIT_ASSERT(begin("c") == KeyState::Full);
+        m_table->completeDone(key("a"), response(3));
+        CPPUNIT_ASSERT(begin("c") == KeyState::Full);
+        CPPUNIT_ASSERT(begin("a") == KeyState::Replay);
+        m_table->completeNotRun(key("b"));
+        CPPUNIT_ASSERT(begin("c") == KeyState::Run);
+    }
+
+    // Guards against a byte bound that is enforced by dropping keys.
+    void bodiesAreDroppedBeforeKeys()
+    {
+        useLimits({ .maxBytes = 2000, .maxResponseBytes = 1000 });
+        begin("large");
+        m_table->completeDone(key("large"), response(1001));
+        CPPUNIT_ASSERT(begin("large") == KeyState::DoneWithoutBody);
+        begin("a");
+        m_table->completeDone(key("a"), response(800));
+        begin("b");
+        m_table->completeDone(key("b"), response(800));
+        CPPUNIT_ASSERT(begin("a") == KeyState::DoneWithoutBody);
+        CPPUNIT_ASSERT(begin("b") == KeyState::Replay);
+        CPPUNIT_ASSERT(m_table->byteCount() <= 2000);
+    }
+
+    // Guards against a repeat of what may have run, and against a refusal of what did not.
+    void notRunMayRunAgainAndUnknownMayNot()
+    {
+        begin("a");
+        m_table->completeNotRun(key("a"));
+        CPPUNIT_ASSERT(begin("a") == KeyState::Run);
+        m_table->completeUnknown(key("a"));
+        CPPUNIT_ASSERT(begin("a") == KeyState::Unknown);
+    }
+
+    // Guards against one request that crashes target after target.
+    void suspectRunsAloneAndIsThenRefused()
+    {
+        CrashSuspects suspects;
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Free);
+        suspects.strike(1, {}, m_clock.now(), m_clock.now());
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Alone);
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Busy);
+        suspects.release(1);
+        m_clock.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(2, suspects.strike(1, {}, m_clock.now(), m_clock.now()).strikes);
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Refused);
+        m_clock.advance(10min);
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Alone);
+        suspects.succeed(1);
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Free);
+    }
+
+    // Guards against blaming a popular lookup for a failure domain that failed.
+    void runsLostTogetherCountOnce()
+    {
+        CrashSuspects suspects;
+        const TimePoint began = m_clock.now();
+        m_clock.advance(1ms);
+        CPPUNIT_ASSERT_EQUAL(1, suspects.strike(1, {}, began, m_clock.now()).strikes);
+        m_clock.advance(1ms);
+        CPPUNIT_ASSERT_EQUAL(0, suspects.strike(1, {}, began, m_clock.now()).strikes);
+        CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Alone);
+    }
+
+    // Guards against memory that grows with the number of distinct requests.
+    void suspectsAreBounded()
+    {
+        CrashSuspects suspects({ .maxSuspects = 3 });
+        for (Fingerprint i = 0; i < 10; ++i) {
+            m_clock.advance(1ms);
+            suspects.strike(i, { "sof" }, m_clock.now(), m_clock.now());
+        }
+        suspects.adopt({ 99, 2, 1h, {} }, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), suspects.count());
+        CPPUNIT_ASSERT(suspects.refusedFor(99, m_clock.now()) == Duration(10min));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OutcomesTest);
+
+} // namespace lycheebay
