--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -38,9 +38,9 @@
 
 bool sameHeaderName(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size()
-            && std::equal(a.begin(), a.end(), b.begin(),
-                          [](char x, char y) { return lower(x) == lower(y); });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return lower(x) == lower(y);
+           });
 }
 
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
@@ -75,11 +75,11 @@
 {
     HttpHeaders result;
     for (const HttpHeader &header : headers) {
-        const bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(), [&](auto name) {
-            return sameHeaderName(header.name, name);
-        });
+        const bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                                     [&](auto name) { return sameHeaderName(header.name, name); });
         const bool named = std::any_of(headers.begin(), headers.end(), [&](const HttpHeader &it) {
-            return sameHeaderName(it.name, "connection") && namedByConnection(it.value, header.name);
+            return sameHeaderName(it.name, "connection")
+                   && namedByConnection(it.value, header.name);
         });
         if (!hop && !named)
             result.push_back(header);
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -26,10 +26,7 @@
     HttpHeaders headers;
     std::string body;
 
-    std::string_view path() const
-    {
-        return std::string_view(target).substr(0, target.find('?'));
-    }
+    std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 
     auto operator<=>(const HttpRequest &) const = default;
 };
--- a/src/outcomes/outcometable.cpp
+++ b/src/outcomes/outcometable.cpp
@@ -29,10 +29,9 @@
 RequestIdentity identifyRequest(const HttpRequest &request, std::string_view tenant)
 {
     // Lengths keep the fields apart: no two requests give the same text.
-    const std::string text =
-            fmt::format("{}:{}:{}:{}\n{}{}{}{}", request.method.size(), request.target.size(),
-                        tenant.size(), request.body.size(), request.method, request.target, tenant,
-                        request.body);
+    const std::string text = fmt::format("{}:{}:{}:{}\n{}{}{}{}", request.method.size(),
+                                         request.target.size(), tenant.size(), request.body.size(),
+                                         request.method, request.target, tenant, request.body);
     return { hash64(text, 1), hash64(text, 2) };
 }
 
--- a/src/outcomes/outcometable.h
+++ b/src/outcomes/outcometable.h
@@ -37,8 +37,8 @@
 RequestIdentity identifyRequest(const HttpRequest &request, std::string_view tenant);
 
 enum class KeyState {
-    Run,             ///< new: the caller of begin() runs it and must call one of the complete methods
-    Replay,          ///< done; the response is attached
+    Run,    ///< new: the caller of begin() runs it and must call one of the complete methods
+    Replay, ///< done; the response is attached
     DoneWithoutBody, ///< done, but the response was not kept
     Wait,            ///< runs now; ask again when it is completed
     Conflict,        ///< the key was used with another request
@@ -69,7 +69,8 @@
 
     KeyDecision begin(const IdempotencyKey &key, const RequestIdentity &identity, TimePoint now);
 
-    /// Precondition of the three: begin() returned Run for \a key and none of them was called since.
+    /// Precondition of the three: begin() returned Run for \a key and none of them was called
+    /// since.
     void completeDone(std::string_view key, std::shared_ptr<const HttpResponse> response);
     /// The key may run again while its ticket lives.
     void completeNotRun(std::string_view key);
@@ -88,8 +89,7 @@
     struct BodyTag;
 
     KeyDecision decideKnown(const Entry &entry, const RequestIdentity &identity) const;
-    KeyDecision decideNew(const IdempotencyKey &key, const RequestIdentity &identity,
-                          Duration age);
+    KeyDecision decideNew(const IdempotencyKey &key, const RequestIdentity &identity, Duration age);
     void forgetExpired(TimePoint now);
     void dropOldestBodies(std::size_t room);
     void dropBody(Entry &entry);
--- a/src/outcomes/tests/outcomestest.cpp
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -34,7 +34,8 @@
     std::string key(const std::string &suffix) { return formatTicket(m_ticket) + "~" + suffix; }
     static std::shared_ptr<const HttpResponse> response(std::size_t size)
     {
-        return std::make_shared<const HttpResponse>(HttpResponse{ 200, {}, std::string(size, 'x') });
+        return std::make_shared<const HttpResponse>(
+                HttpResponse{ 200, {}, std::string(size, 'x') });
     }
     void useLimits(const OutcomeLimits &limits)
     {
@@ -53,8 +54,15 @@
         const std::string text = formatTicket(m_ticket);
         CPPUNIT_ASSERT(*parseTicket(text) == m_ticket);
         const std::vector<std::string> badTickets{
-            text + " ", "lb1.7.1.1", "lb1", "", "lb2" + text.substr(3), text + ".1",
-            "lb1.000000000000000A.1.1", "lb1.0000000000000007.01.1", "lb1.0000000000000007.-1.1",
+            text + " ",
+            "lb1.7.1.1",
+            "lb1",
+            "",
+            "lb2" + text.substr(3),
+            text + ".1",
+            "lb1.000000000000000A.1.1",
+            "lb1.0000000000000007.01.1",
+            "lb1.0000000000000007.-1.1",
             "lb1.0000000000000007.99999999999999999.1",
         };
         for (const std::string &bad : badTickets)
--- a/src/outcomes/ticket.cpp
+++ b/src/outcomes/ticket.cpp
@@ -24,14 +24,15 @@
 bool isSuffixCharacter(char c)
 {
     return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.'
-            || c == '_' || c == '-';
+           || c == '_' || c == '-';
 }
 
 } // namespace
 
 std::string formatTicket(const Ticket &ticket)
 {
-    const auto issuedMs = std::chrono::duration_cast<milliseconds>(ticket.issuedAt.time_since_epoch());
+    const auto issuedMs =
+            std::chrono::duration_cast<milliseconds>(ticket.issuedAt.time_since_epoch());
     return fmt::format("{}{:016x}.{}.{}", kPrefix, ticket.incarnation, issuedMs.count(),
                        ticket.sequence);
 }
@@ -49,8 +50,8 @@
     Ticket ticket;
     std::uint64_t issuedMs = 0;
     const bool parsed = parseNumber(fields.substr(0, first), 16, ticket.incarnation)
-            && parseNumber(fields.substr(first + 1, second - first - 1), 10, issuedMs)
-            && parseNumber(fields.substr(second + 1), 10, ticket.sequence);
+                        && parseNumber(fields.substr(first + 1, second - first - 1), 10, issuedMs)
+                        && parseNumber(fields.substr(second + 1), 10, ticket.sequence);
     // The bound keeps the time representable in nanoseconds.
     constexpr std::uint64_t kMaxMs = 9'000'000'000'000;
     if (!parsed || issuedMs > kMaxMs)
--- /dev/null
+++ b/src/transport/cancellation.cpp
@@ -0,0 +1,29 @@
+#include "transport/cancellation.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace lycheebay {
+
+Cancellation::Cancellation()
+    : m_descriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{}
+
+Cancellation::~Cancellation()
+{
+    if (m_descriptor >= 0)
+        close(m_descriptor);
+}
+
+void Cancellation::cancel()
+{
+    m_cancelled = true;
+    const std::uint64_t one = 1;
+    // A full counter is readable already, so a failed write loses nothing.
+    if (m_descriptor >= 0)
+        (void)!write(m_descriptor, &one, sizeof(one));
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/internal/callerconnection.cpp
@@ -0,0 +1,201 @@
+#include "transport/internal/callerconnection.h"
+
+#include "base/log.h"
+#include "transport/problem.h"
+
+#include <fmt/format.h>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <exception>
+
+namespace lycheebay {
+
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// Time and bytes for which the input of a refused caller is read, because closing a socket with
+/// unread input resets the connection and may destroy the answer.
+constexpr std::chrono::milliseconds kDrainTime{ 50 };
+constexpr std::size_t kDrainBytes = 64u << 10;
+constexpr std::chrono::seconds kRefusedRetryAfter{ 1 };
+
+TimePoint after(Duration duration)
+{
+    return std::chrono::steady_clock::now() + duration;
+}
+
+const char *reasonPhrase(int status)
+{
+    if (status < 300)
+        return "OK";
+    if (status < 400)
+        return "Redirection";
+    return status < 500 ? "Client Error" : "Server Error";
+}
+
+bool mayHaveBody(std::string_view method, int status)
+{
+    return method != "HEAD" && status != 204 && status != 304;
+}
+
+HeadLimits headLimits(const HttpFrontSettings &settings)
+{
+    return { settings.maxTargetBytes, settings.maxHeadBytes, settings.maxHeaders,
+             settings.maxBodyBytes };
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(int socket, const HttpFrontSettings &settings,
+                                   const HttpHandler &handler, const Cancellation &stopping,
+                                   HttpFrontCounters &counters)
+    : m_socket(socket)
+    , m_settings(settings)
+    , m_handler(handler)
+    , m_stopping(stopping)
+    , m_counters(counters)
+    , m_stream(socket)
+{}
+
+void CallerConnection::serve()
+{
+    while (serveRequest()) {}
+}
+
+void CallerConnection::refuse()
+{
+    const Refusal refusal{ 503, "too many connections to this instance", kRefusedRetryAfter };
+    respond(problemResponse("not-run", refusal), "GET", false);
+    drain();
+}
+
+bool CallerConnection::isGone() const
+{
+    pollfd polled{ m_socket, POLLRDHUP, 0 };
+    return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool CallerConnection::serveRequest()
+{
+    std::size_t headBytes = 0;
+    if (!readHead(headBytes))
+        return false;
+    const auto parsed =
+            parseRequestHead(m_stream.buffered().substr(0, headBytes), headLimits(m_settings));
+    if (const auto *error = std::get_if<HeadError>(&parsed)) {
+        reject(error->status, error->reason);
+        return false;
+    }
+    m_stream.consume(headBytes);
+    RequestHead head = std::get<RequestHead>(parsed);
+    if (!readBody(head, head.request.body))
+        return false;
+    const HttpResponse response = handle(head.request);
+    const bool keepAlive = head.keepAlive && !m_stopping.isCancelled();
+    return respond(response, head.request.method, keepAlive) && keepAlive;
+}
+
+bool CallerConnection::readHead(std::size_t &headBytes)
+{
+    m_stream.setDeadline(after(m_settings.idleTimeout));
+    m_stream.setCancellation(&m_stopping);
+    if (m_stream.buffered().empty() && !m_stream.fill())
+        return false;
+    m_stream.setCancellation(nullptr);
+    m_stream.setDeadline(after(m_settings.headTimeout));
+    for (;;) {
+        const auto end = m_stream.buffered().find(kHeadEnd);
+        headBytes = end + kHeadEnd.size();
+        if (end != std::string_view::npos && headBytes <= m_settings.maxHeadBytes)
+            return true;
+        if (m_stream.buffered().size() > m_settings.maxHeadBytes) {
+            reject(431, "the request's head is too large");
+            return false;
+        }
+        if (m_stream.fill())
+            continue;
+        if (m_stream.state() == StreamState::TimedOut)
+            reject(408, "the request's head took too long");
+        return false;
+    }
+}
+
+bool CallerConnection::readBody(const RequestHead &head, std::string &body)
+{
+    m_stream.setDeadline(after(m_settings.bodyTimeout));
+    if (head.expectsContinue && m_stream.buffered().empty()) {
+        m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+        if (!m_stream.flush())
+            return false;
+    }
+    while (m_stream.buffered().size() < head.bodyBytes) {
+        if (m_stream.fill())
+            continue;
+        if (m_stream.state() == StreamState::TimedOut)
+            reject(408, "the request's body took too long");
+        return false;
+    }
+    body = m_stream.buffered().substr(0, head.bodyBytes);
+    m_stream.consume(head.bodyBytes);
+    return true;
+}
+
+HttpResponse CallerConnection::handle(const HttpRequest &request)
+{
+    try {
+        return m_handler(request, *this);
+    } catch (const std::exception &e) {
+        LOG4CPLUS_ERROR(componentLogger("http"), "request handler failed: " << e.what());
+    } catch (...) {
+        LOG4CPLUS_ERROR(componentLogger("http"), "request handler failed");
+    }
+    ++m_counters.handlerFailures;
+    return problemResponse("unknown", { 500, "internal error", {} });
+}
+
+void CallerConnection::reject(int status, std::string reason)
+{
+    ++m_counters.badRequests;
+    // A timed-out stream sends nothing more, so the answer takes a new one.
+    DeadlineStream stream(m_socket);
+    stream.setDeadline(after(m_settings.writeTimeout));
+    const HttpResponse response = problemResponse("not-run", { status, std::move(reason), {} });
+    stream.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/problem+json\r\n"
+                             "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                             status, reasonPhrase(status), response.body.size(), response.body));
+    stream.flush();
+    drain();
+}
+
+bool CallerConnection::respond(const HttpResponse &response, std::string_view method,
+                               bool keepAlive)
+{
+    m_stream.setDeadline(after(m_settings.writeTimeout));
+    m_stream.write(
+            fmt::format("HTTP/1.1 {} {}\r\n", response.status, reasonPhrase(response.status)));
+    for (const HttpHeader &header : endToEndHeaders(response.headers))
+        m_stream.write(fmt::format("{}: {}\r\n", header.name, header.value));
+    if (!keepAlive)
+        m_stream.write("Connection: close\r\n");
+    const bool withBody = mayHaveBody(method, response.status);
+    if (withBody)
+        m_stream.write(fmt::format("Content-Length: {}\r\n", response.body.size()));
+    m_stream.write("\r\n");
+    if (withBody)
+        m_stream.write(response.body);
+    return m_stream.flush();
+}
+
+void CallerConnection::drain()
+{
+    shutdown(m_socket, SHUT_WR);
+    DeadlineStream stream(m_socket);
+    stream.setDeadline(after(kDrainTime));
+    stream.setReadLimit(kDrainBytes);
+    while (stream.fill())
+        stream.consume(stream.buffered().size());
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/internal/callerconnection.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "transport/httpfront.h"
+#include "transport/internal/deadlinestream.h"
+#include "transport/internal/requesthead.h"
+
+namespace lycheebay {
+
+/// Serves one caller's connection, request by request. Used by one thread.
+class CallerConnection final : public ICaller
+{
+public:
+    CallerConnection(int socket, const HttpFrontSettings &settings, const HttpHandler &handler,
+                     const Cancellation &stopping, HttpFrontCounters &counters);
+
+    void serve();
+    /// Answers without reading a request that there are too many connections.
+    void refuse();
+
+    bool isGone() const override;
+
+private:
+    bool serveRequest();
+    bool readHead(std::size_t &headBytes);
+    bool readBody(const RequestHead &head, std::string &body);
+    HttpResponse handle(const HttpRequest &request);
+    void reject(int status, std::string reason);
+    bool respond(const HttpResponse &response, std::string_view method, bool keepAlive);
+    void drain();
+
+    const int m_socket;
+    const HttpFrontSettings &m_settings;
+    const HttpHandler &m_handler;
+    const Cancellation &m_stopping;
+    HttpFrontCounters &m_counters;
+    DeadlineStream m_stream;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/problem.cpp
@@ -0,0 +1,43 @@
+#include "transport/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::ceil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace
+
+HttpResponse problemResponse(const char *outcome, const Refusal &refusal)
+{
+    nlohmann::json body{ { "type", "about:blank" },
+                         { "status", refusal.status },
+                         { "outcome", outcome },
+                         { "reason", refusal.reason } };
+    HttpResponse response;
+    response.status = refusal.status;
+    response.headers.push_back({ "Content-Type", "application/problem+json" });
+    if (refusal.retryAfter > Duration::zero()) {
+        body["retryAfterMs"] = ceil<milliseconds>(refusal.retryAfter).count();
+        response.headers.push_back(
+                { "Retry-After", std::to_string(ceil<seconds>(refusal.retryAfter).count()) });
+    }
+    // Lenient, because a reason may quote bytes of the caller that are not UTF-8.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+HttpResponse renderOutcome(const Outcome &outcome)
+{
+    if (const auto *done = std::get_if<Done>(&outcome))
+        return *done->response;
+    if (const auto *notRun = std::get_if<NotRun>(&outcome))
+        return problemResponse("not-run", notRun->refusal);
+    return problemResponse("unknown", std::get<Unknown>(outcome).refusal);
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/tests/httpfronttest.cpp
@@ -0,0 +1,177 @@
+#include "transport/httpfront.h"
+#include "transport/tests/rawpeer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <stdexcept>
+
+namespace lycheebay {
+
+using namespace std::chrono_literals;
+
+class HttpFrontTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpFrontTest);
+    CPPUNIT_TEST(bodiesPassUnchangedOnAKeptConnection);
+    CPPUNIT_TEST(ambiguousAndOversizedInputIsRefused);
+    CPPUNIT_TEST(oneConnectionOverTheBoundIsTold);
+    CPPUNIT_TEST(slowSendersAreCutOff);
+    CPPUNIT_TEST(exceptionsEndNoProcess);
+    CPPUNIT_TEST(aCallerThatWentAwayIsSeen);
+    CPPUNIT_TEST_SUITE_END();
+
+    void start(HttpFrontSettings settings = {})
+    {
+        settings.listen = { "127.0.0.1", 0 };
+        m_front = std::make_unique<HttpFront>(
+                settings, [this](const HttpRequest &request, const ICaller &caller) {
+                    return m_handler(request, caller);
+                });
+        CPPUNIT_ASSERT(m_front->start().ok());
+    }
+    std::string answerTo(const std::string &bytes)
+    {
+        const RawClient client(m_front->port());
+        client.send(bytes);
+        return client.readAll();
+    }
+
+    std::function<HttpResponse(const HttpRequest &, const ICaller &)> m_handler =
+            [](const HttpRequest &request, const ICaller &) {
+                return HttpResponse{ 200, {}, request.target + "|" + request.body };
+            };
+    std::unique_ptr<HttpFront> m_front;
+
+public:
+    // Guards against the library's decoding: forms taken apart, ranges applied, answers packed.
+    void bodiesPassUnchangedOnAKeptConnection()
+    {
+        start();
+        const RawClient client(m_front->port());
+        for (int i = 0; i < 20; ++i) {
+            client.send("POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                        "Content-Type: multipart/form-data; boundary=x\r\nRange: bytes=0-0\r\n"
+                        "Content-Encoding: gzip\r\nAccept-Encoding: gzip\r\n\r\nq=1");
+            CPPUNIT_ASSERT(!client.readUntil("\r\n\r\n/a%2Fb?x=1|q=1").empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_front->counters().connections.load());
+    }
+
+    // Guards against request smuggling and unbounded input.
+    void ambiguousAndOversizedInputIsRefused()
+    {
+        start({ .maxBodyBytes = 100 });
+        struct Case
+        {
+            std::string input;
+            std::string status;
+        };
+        const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n";
+        const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+        const std::vector<Case> cases{
+            { post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400" },
+            { post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400" },
+            { post + "Content-Length: 3, 3\r\n\r\nabc", "400" },
+            { post + "Content-Length: +3\r\n\r\nabc", "400" },
+            { post + "Content-Length: -1\r\n\r\nabc", "400" },
+            { post + "Content-Length: 0x3\r\n\r\nabc", "400" },
+            { post + "Content-Length: \r\n\r\nabc", "400" },
+            { post + "Content-Length: 99999999999999999999\r\n\r\n", "413" },
+            { post + "Content-Length: 101\r\n\r\n", "413" },
+            { post + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411" },
+            { post + "\r\n", "411" },
+            { get + "Transfer-Encoding : chunked\r\n\r\n", "400" },
+            { get + "A: b\r\n c: d\r\n\r\n", "400" },
+            { get + "A: b\nC: d\r\n\r\n", "400" },
+            { get + "A: b\rC\r\n\r\n", "400" },
+            { get + std::string("A: b\0c\r\n\r\n", 11), "400" },
+            { get + "no colon\r\n\r\n", "400" },
+            { get + ": x\r\n\r\n", "400" },
+            { get + "Host: i\r\n\r\n", "400" },
+            { "GET / HTTP/1.1\r\n\r\n", "400" },
+            { "GET / HTTP/2.0\r\nHost: h\r\n\r\n", "400" },
+            { "GET  / HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+            { "GET http://x/ HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+            { "CONNECT /x HTTP/1.1\r\nHost: h\r\n\r\n", "501" },
+            { "\r\n\r\n", "400" },
+            { "GET /" + std::string(9000, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n", "414" },
+            { get + "A: " + std::string(20000, 'a') + "\r\n\r\n", "431" },
+            { get + std::string(20000, 'a'), "431" },
+        };
+        for (const Case &it : cases) {
+            const std::string answer = answerTo(it.input);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.input.substr(0, 80), "HTTP/1.1 " + it.status,
+                                         answer.substr(0, 12));
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("not-run") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(cases.size(), std::size_t(m_front->counters().badRequests));
+    }
+
+    // Guards against callers that wait without an answer while idle connections hold all threads.
+    void oneConnectionOverTheBoundIsTold()
+    {
+        start({ .maxConnections = 2 });
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        auto first = std::make_unique<RawClient>(m_front->port());
+        first->send(request);
+        CPPUNIT_ASSERT(!first->readUntil("/|").empty());
+        const RawClient second(m_front->port());
+        second.send(request);
+        CPPUNIT_ASSERT(!second.readUntil("/|").empty());
+        const std::string refused = answerTo(request);
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), refused.substr(0, 12));
+        CPPUNIT_ASSERT(refused.find("\"not-run\"") != std::string::npos);
+        CPPUNIT_ASSERT(refused.find("Connection: close") != std::string::npos);
+        first.reset();
+        CPPUNIT_ASSERT(eventually([&] { return m_front->counters().openConnections == 1; }));
+        const RawClient third(m_front->port());
+        third.send(request);
+        CPPUNIT_ASSERT(!third.readUntil("/|").empty());
+    }
+
+    // Guards against senders that hold a thread by trickling bytes.
+    void slowSendersAreCutOff()
+    {
+        start({ .idleTimeout = 50ms, .headTimeout = 50ms, .bodyTimeout = 50ms });
+        CPPUNIT_ASSERT_EQUAL(std::string(), answerTo(""));
+        CPPUNIT_ASSERT(answerTo("GET / HT").starts_with("HTTP/1.1 408"));
+        CPPUNIT_ASSERT(answerTo("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
+                               .starts_with("HTTP/1.1 408"));
+    }
+
+    // Guards against a fault in one request that ends the process.
+    void exceptionsEndNoProcess()
+    {
+        m_handler = [](const HttpRequest &, const ICaller &) -> HttpResponse {
+            throw std::runtime_error("fault");
+        };
+        start();
+        const std::string get = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        CPPUNIT_ASSERT(answerTo(get).starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT(answerTo(get).find("\"unknown\"") != std::string::npos);
+    }
+
+    // Guards against work for a caller that nobody waits for any more.
+    void aCallerThatWentAwayIsSeen()
+    {
+        std::atomic<bool> began = false;
+        std::atomic<bool> seen = false;
+        m_handler = [&](const HttpRequest &, const ICaller &caller) {
+            began = true;
+            seen = eventually([&] { return caller.isGone(); });
+            return HttpResponse{};
+        };
+        start();
+        RawClient client(m_front->port());
+        client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(eventually([&] { return began.load(); }));
+        client.close();
+        m_front->stop();
+        CPPUNIT_ASSERT(seen);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpFrontTest);
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/tests/targetclienttest.cpp
@@ -0,0 +1,189 @@
+#include "transport/targetclient.h"
+#include "transport/loadheader.h"
+#include "transport/tests/rawpeer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lycheebay {
+
+using namespace std::chrono_literals;
+
+class TargetClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetClientTest);
+    CPPUNIT_TEST(cleanConnectionsAreReused);
+    CPPUNIT_TEST(responsesNeverCross);
+    CPPUNIT_TEST(cutAndAmbiguousResponsesAreLost);
+    CPPUNIT_TEST(refusedConnectionIsNotLostAnswer);
+    CPPUNIT_TEST(cancelAndTimeoutCloseTheConnection);
+    CPPUNIT_TEST(gateIsAskedBeforeTheFirstByte);
+    CPPUNIT_TEST(shedNeedsItsHeader);
+    CPPUNIT_TEST(connectionsAreBounded);
+    CPPUNIT_TEST(loadHeaderIsParsedStrictly);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string reply(const std::string &body, const std::string &headers = {})
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
+               + headers + "\r\n" + body;
+    }
+    TargetAnswer exchange(const RawServer &server, Duration timeout = 10s)
+    {
+        return m_client.exchange(server.address(), m_request,
+                                 std::chrono::steady_clock::now() + timeout, nullptr, {});
+    }
+    static std::string bodyOf(const TargetAnswer &answer)
+    {
+        return answer.response ? answer.response->body : std::string("none");
+    }
+
+    TargetClient m_client{ { .maxConnectionsPerTarget = 1 } };
+    HttpRequest m_request{
+        "GET", "/a%20b?c", { { "Connection", "x" }, { "X", "1" }, { "K", "2" } }, {}
+    };
+
+public:
+    // Guards against one new connection, about 1 ms at the target, per request.
+    void cleanConnectionsAreReused()
+    {
+        const RawServer server({ reply("a", kLoadHeader
+                                                    + std::string(": inflight=2;slots=3;"
+                                                                  "phase=cold;start=17\r\n")),
+                                 reply("b") });
+        const TargetAnswer first = exchange(server);
+        CPPUNIT_ASSERT(first.result.outcome == AttemptOutcome::Answered);
+        CPPUNIT_ASSERT((*first.result.load == LoadReport{ 2, 3, TargetPhase::Cold, 17 }));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        const std::string sent = server.lastRequest();
+        CPPUNIT_ASSERT(sent.starts_with("GET /a%20b?c HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(sent.find("K: 2\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(sent.find("X: 1\r\n") == std::string::npos);
+    }
+
+    // Guards against late and crossed answers: bytes behind a response that the next request on
+    // the connection would read.
+    void responsesNeverCross()
+    {
+        RawServer server({ reply("a") + reply("wrong"), reply("b"), reply("c"), reply("d") });
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(2, server.connections());
+        server.sendUnasked(reply("wrong"));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(3, server.connections());
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), bodyOf(exchange(server)));
+    }
+
+    // Guards against a part of a response that passes for a whole one.
+    void cutAndAmbiguousResponsesAreLost()
+    {
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const std::vector<std::string> replies{
+            "",
+            "HTTP/1.1 20",
+            ok + "Content-Length: 5\r\n\r\nabc",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+            ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            ok + "\r\nabc",
+            ok + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            ok + "Content-Length: -3\r\n\r\nabc",
+            "nonsense\r\n\r\n",
+        };
+        for (const std::string &it : replies) {
+            const RawServer server({ it });
+            const TargetAnswer answer = exchange(server, 200ms);
+            const bool uncertain = answer.result.outcome == AttemptOutcome::Lost
+                                   || answer.result.outcome == AttemptOutcome::TimedOut;
+            CPPUNIT_ASSERT_MESSAGE(it, uncertain && answer.sent && !answer.response);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, !it.empty(), answer.responseBegan);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::size_t(0), m_client.openCount(server.address()));
+        }
+    }
+
+    // Guards against "not run" for a request that may have run.
+    void refusedConnectionIsNotLostAnswer()
+    {
+        Address closed;
+        {
+            const RawServer server({ "" });
+            const TargetAnswer lost = exchange(server);
+            CPPUNIT_ASSERT(lost.result.outcome == AttemptOutcome::Lost && lost.sent);
+            closed = server.address();
+        }
+        const TargetAnswer refused = m_client.exchange(
+                closed, m_request, std::chrono::steady_clock::now() + 10s, nullptr, {});
+        CPPUNIT_ASSERT(refused.result.outcome == AttemptOutcome::NotConnected && !refused.sent);
+    }
+
+    // Guards against the reuse of a connection whose response is still to come.
+    void cancelAndTimeoutCloseTheConnection()
+    {
+        const RawServer server({ "wait", "wait", reply("c") });
+        CPPUNIT_ASSERT(exchange(server, 50ms).result.outcome == AttemptOutcome::TimedOut);
+        Cancellation cancellation;
+        std::thread canceller([&] {
+            eventually([&] { return server.requests() == 2; });
+            cancellation.cancel();
+        });
+        const TargetAnswer cancelled =
+                m_client.exchange(server.address(), m_request,
+                                  std::chrono::steady_clock::now() + 10s, &cancellation, {});
+        canceller.join();
+        CPPUNIT_ASSERT(cancelled.result.outcome == AttemptOutcome::Cancelled && cancelled.sent);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(3, server.connections());
+    }
+
+    // Guards against a send after the configuration lease ended.
+    void gateIsAskedBeforeTheFirstByte()
+    {
+        const RawServer server({ reply("a") });
+        const TargetAnswer answer = m_client.exchange(server.address(), m_request,
+                                                      std::chrono::steady_clock::now() + 10s,
+                                                      nullptr, [](TimePoint) { return false; });
+        CPPUNIT_ASSERT(!answer.sent && answer.result.outcome == AttemptOutcome::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), bodyOf(exchange(server)));
+        CPPUNIT_ASSERT_EQUAL(1, server.requests());
+    }
+
+    // Guards against a repeat of a request that failed with 503 while running.
+    void shedNeedsItsHeader()
+    {
+        const std::string head = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n";
+        const RawServer server({ head + "Lycheebay-Not-Run: 1\r\n\r\n", head + "\r\n" });
+        CPPUNIT_ASSERT(exchange(server).result.outcome == AttemptOutcome::Shed);
+        CPPUNIT_ASSERT(exchange(server).result.outcome == AttemptOutcome::Failed);
+    }
+
+    // Guards against more connections than the target bears.
+    void connectionsAreBounded()
+    {
+        const RawServer server({ "wait", reply("b") });
+        Cancellation cancellation;
+        std::thread first([&] {
+            m_client.exchange(server.address(), m_request, std::chrono::steady_clock::now() + 10s,
+                              &cancellation, {});
+        });
+        CPPUNIT_ASSERT(eventually([&] { return server.requests() == 1; }));
+        const TargetAnswer second = exchange(server);
+        cancellation.cancel();
+        first.join();
+        CPPUNIT_ASSERT(!second.sent && second.result.outcome == AttemptOutcome::Cancelled);
+    }
+
+    // Guards against a load report made of garbage.
+    void loadHeaderIsParsedStrictly()
+    {
+        for (const char *bad :
+             { "", "inflight=1", "inflight=1;slots=2;phase=hot;start=1",
+               "inflight=-1;slots=2;phase=warm;start=1", "inflight=1;slots=2;phase=warm;start=1;",
+               "inflight=1;slots=99999999999;phase=warm;start=1" })
+            CPPUNIT_ASSERT_MESSAGE(bad, !parseLoadHeader(bad));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetClientTest);
+
+} // namespace lycheebay
