Add the request path of an entry

Measured: it compiles against the header of CellDispatcher; transport_http_tests passes. Conclusion: linking waits for the implementation of CellDispatcher.

--- /dev/null
+++ b/src/entry/celldirectory.cpp
@@ -0,0 +1,217 @@
+#include "entry/celldirectory.h"
+
+#include "base/hash.h"
+#include "entry/internal/delayedworkers.h"
+#include "transport/loadheader.h"
+#include "transport/targetclient.h"
+
+namespace lycheebay {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRefreshPeriod{ 100 };
+/// Verdicts are published and idle connections closed in every tenth period, once a second.
+constexpr int kRoundsPerSecond = 10;
+
+StringSet leavingIds(const PlatformView *view)
+{
+    StringSet ids;
+    if (!view)
+        return ids;
+    for (const PlatformInstance &instance : view->instances()) {
+        if (instance.state == InstanceState::Leaving)
+            ids.insert(instance.id);
+    }
+    return ids;
+}
+
+} // namespace
+
+CellDirectory::CellDirectory(Blackboard &board, const EntrySettings &settings, const IClock &clock,
+                             IPeerSharing &sharing, TargetClient &client)
+    : m_board(board)
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_sharing(sharing)
+    , m_client(client)
+    , m_workers(std::make_unique<DelayedWorkers>(settings.workers))
+{}
+
+CellDirectory::~CellDirectory()
+{
+    m_timer.reset();
+    const std::lock_guard lock(m_link->mutex);
+    m_link->directory = nullptr;
+}
+
+void CellDirectory::start(ITimerService &timers)
+{
+    m_link->directory = this;
+    const auto onChange = [link = m_link](const auto &) {
+        const std::lock_guard lock(link->mutex);
+        if (link->directory)
+            link->directory->refresh();
+    };
+    m_board.configuration.subscribe(onChange);
+    m_board.plan.subscribe(onChange);
+    m_board.platform.subscribe(onChange);
+    refresh();
+    m_timer = timers.every(kRefreshPeriod, [link = m_link] {
+        const std::lock_guard lock(link->mutex);
+        if (link->directory)
+            link->directory->onTimer();
+    });
+}
+
+std::shared_ptr<Cell> CellDirectory::find(std::string_view service) const
+{
+    const auto map = m_cells.read();
+    if (!map)
+        return nullptr;
+    const auto it = map->cells.find(service);
+    return it == map->cells.end() ? nullptr : it->second;
+}
+
+std::map<std::string, std::shared_ptr<Cell>> CellDirectory::cells() const
+{
+    const auto map = m_cells.read();
+    if (!map)
+        return {};
+    return { map->cells.begin(), map->cells.end() };
+}
+
+void CellDirectory::onTimer()
+{
+    refresh();
+    startProbes();
+    if (++m_timerRounds % kRoundsPerSecond != 0)
+        return;
+    publishVerdicts();
+    m_client.closeIdle();
+}
+
+void CellDirectory::refresh()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto configuration = m_board.configuration.read();
+    const auto plan = m_board.plan.read();
+    if (!configuration || !plan)
+        return;
+    const StringSet leaving = leavingIds(m_board.platform.read().get());
+    bool changed = dropRemovedServices(*configuration->estate());
+    for (const std::string &service : configuration->estate()->data().services)
+        changed = refreshService(service, *configuration, *plan, leaving) || changed;
+    if (changed)
+        publishCells();
+}
+
+bool CellDirectory::refreshService(const std::string &service,
+                                   const ConfigurationState &configuration, const CellPlan &plan,
+                                   const StringSet &leaving)
+{
+    std::vector<TargetSpec> targets = targetSpecs(service, *configuration.estate(), leaving);
+    auto it = m_records.find(service);
+    const bool isNew = it == m_records.end();
+    if (isNew) {
+        if (targets.empty())
+            return false;
+        it = m_records.emplace(service, CellRecord{}).first;
+        const std::uint64_t seed = hash64(service, m_settings.seed);
+        it->second.cell = std::make_shared<Cell>(m_settings.dispatcher, seed, m_clock);
+    }
+    CellRecord &record = it->second;
+    // The role comes first, so that a new cell sends nothing to cold targets before the wait.
+    setRole(service, record, plan);
+    if (record.targets != targets) {
+        record.cell->updateTargets(targets);
+        record.targets = std::move(targets);
+    }
+    if (isNew)
+        record.cell->adoptVerdicts(m_sharing.latestVerdicts(service, m_settings.self.region));
+    return isNew;
+}
+
+std::vector<TargetSpec> CellDirectory::targetSpecs(const std::string &service, const Estate &estate,
+                                                   const StringSet &leaving) const
+{
+    const WallTime now = m_clock.wallNow();
+    std::vector<TargetSpec> specs;
+    for (const Target *target : estate.cellTargets(service, m_settings.self.region)) {
+        // Work given just before the drain may run for the longest deadline.
+        const bool accepts = estate.acceptsWork(*target, now, m_settings.maxDeadline)
+                             && !leaving.contains(target->id);
+        specs.push_back({ target->id, target->address, target->slots, target->coldLimit, accepts });
+    }
+    return specs;
+}
+
+void CellDirectory::setRole(const std::string &service, CellRecord &record, const CellPlan &plan)
+{
+    const Member *dispatcher = plan.dispatcher(service, m_settings.self.region);
+    const bool owns = dispatcher && dispatcher->identity.incarnation == m_settings.self.incarnation;
+    const DispatchRole role = owns ? DispatchRole::Owner : DispatchRole::Fallback;
+    if (record.role == role)
+        return;
+    const bool hadCell = record.role.has_value();
+    record.role = role;
+    // Any earlier owner, even an earlier incarnation of this instance, may still send.
+    record.cell->setRole(role, m_clock.now() + m_settings.handoverWait);
+    if (owns && hadCell)
+        record.cell->adoptVerdicts(m_sharing.latestVerdicts(service, m_settings.self.region));
+}
+
+bool CellDirectory::dropRemovedServices(const Estate &estate)
+{
+    bool dropped = false;
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        if (estate.hasService(it->first)) {
+            ++it;
+            continue;
+        }
+        it->second.cell->updateTargets({});
+        it = m_records.erase(it);
+        dropped = true;
+    }
+    return dropped;
+}
+
+void CellDirectory::publishCells()
+{
+    auto map = makeRef<CellMap>();
+    for (const auto &[service, record] : m_records)
+        map->cells.emplace(service, record.cell);
+    m_cells.publish(map);
+}
+
+void CellDirectory::publishVerdicts()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[service, record] : m_records) {
+        if (record.role != DispatchRole::Owner)
+            continue;
+        std::vector<TargetVerdict> verdicts = record.cell->verdicts();
+        if (verdicts == record.published)
+            continue;
+        m_sharing.publishVerdicts({ service, m_settings.self.region, verdicts });
+        record.published = std::move(verdicts);
+    }
+}
+
+void CellDirectory::startProbes()
+{
+    for (const auto &[service, cell] : cells()) {
+        for (const Probe &probe : cell->dueProbes()) {
+            const auto run = [this, cell = cell, probe] {
+                const HttpRequest request{ "GET", "/health", {}, {} };
+                const TargetAnswer answer =
+                        m_client.exchange(probe.address, request,
+                                          m_clock.now() + m_settings.probeTimeout, nullptr, {});
+                cell->completeProbe(probe.targetId, answer.result.load);
+            };
+            if (!m_workers->schedule(m_clock.now(), run))
+                cell->completeProbe(probe.targetId, std::nullopt);
+        }
+    }
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/entry/celldirectory.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/itimerservice.h"
+#include "base/stringmap.h"
+#include "entry/blackboard.h"
+#include "entry/cell.h"
+#include "entry/entrysettings.h"
+#include "entry/ipeersharing.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace lycheebay {
+
+class DelayedWorkers;
+class TargetClient;
+
+/// Keeps one Cell per service that has targets in this instance's region, in step with the
+/// blackboard. Thread-safe.
+class CellDirectory
+{
+public:
+    CellDirectory(Blackboard &board, const EntrySettings &settings, const IClock &clock,
+                  IPeerSharing &sharing, TargetClient &client);
+    ~CellDirectory();
+    CellDirectory(const CellDirectory &) = delete;
+    CellDirectory &operator=(const CellDirectory &) = delete;
+
+    /// Follows the blackboard from now on. Precondition: called once.
+    void start(ITimerService &timers);
+
+    /// Returns null for a service without targets in the region.
+    std::shared_ptr<Cell> find(std::string_view service) const;
+    std::map<std::string, std::shared_ptr<Cell>> cells() const;
+
+    /// Brings the cells in step with the blackboard; start() does it on changes and every 100 ms,
+    /// because planned stops begin without a change.
+    void refresh();
+
+private:
+    struct CellRecord
+    {
+        std::shared_ptr<Cell> cell;
+        std::vector<TargetSpec> targets;
+        std::optional<DispatchRole> role;
+        std::vector<TargetVerdict> published;
+    };
+    /// Lets callbacks that outlive the directory find that it is gone.
+    struct Link
+    {
+        std::mutex mutex;
+        CellDirectory *directory = nullptr;
+    };
+    class CellMap final : public RefCounted
+    {
+    public:
+        StringMap<std::shared_ptr<Cell>> cells;
+    };
+
+    void onTimer();
+    bool refreshService(const std::string &service, const ConfigurationState &configuration,
+                        const CellPlan &plan, const StringSet &leaving);
+    std::vector<TargetSpec> targetSpecs(const std::string &service, const Estate &estate,
+                                        const StringSet &leaving) const;
+    void setRole(const std::string &service, CellRecord &record, const CellPlan &plan);
+    bool dropRemovedServices(const Estate &estate);
+    void publishCells();
+    void publishVerdicts();
+    void startProbes();
+
+    Blackboard &m_board;
+    const EntrySettings m_settings;
+    const IClock &m_clock;
+    IPeerSharing &m_sharing;
+    TargetClient &m_client;
+    Topic<CellMap> m_cells;
+    std::mutex m_mutex;
+    std::map<std::string, CellRecord> m_records;
+    const std::shared_ptr<Link> m_link = std::make_shared<Link>();
+    int m_timerRounds = 0;
+    std::unique_ptr<DelayedWorkers> m_workers;
+    TimerSubscription m_timer;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/entry/entrycounters.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "base/iclock.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace lycheebay {
+
+/// Counts durations in buckets whose upper bounds grow by half. Thread-safe.
+class LatencyHistogram
+{
+public:
+    static constexpr std::size_t kBuckets = 32;
+
+    /// Upper bound of a bucket; the last one has none. Precondition: \a bucket < kBuckets.
+    static Duration upperBound(std::size_t bucket)
+    {
+        double bound = 10'000;
+        for (std::size_t i = 0; i < bucket; ++i)
+            bound *= 1.5;
+        return Duration(static_cast<Duration::rep>(bound));
+    }
+
+    void record(Duration value)
+    {
+        std::size_t bucket = 0;
+        while (bucket + 1 < kBuckets && value > upperBound(bucket))
+            ++bucket;
+        m_counts[bucket].fetch_add(1, std::memory_order_relaxed);
+        m_sum.fetch_add(value.count(), std::memory_order_relaxed);
+    }
+
+    std::uint64_t count(std::size_t bucket) const { return m_counts[bucket].load(); }
+    Duration sum() const { return Duration(m_sum.load()); }
+
+private:
+    std::array<std::atomic<std::uint64_t>, kBuckets> m_counts{};
+    std::atomic<Duration::rep> m_sum{ 0 };
+};
+
+/// What the request path counts, for export.
+struct EntryCounters
+{
+    using Count = std::atomic<std::uint64_t>;
+
+    Count requests{ 0 };
+    Count addressAnswers{ 0 };
+    Count done{ 0 };
+    Count notRun{ 0 };
+    Count unknown{ 0 };
+    /// Refused with 421, of which nothing else is kept.
+    Count outsideHomeRegions{ 0 };
+    Count unattested{ 0 };
+    Count replayed{ 0 };
+    Count keyConflicts{ 0 };
+    Count tableFull{ 0 };
+    Count suspectsRefused{ 0 };
+    Count crashStrikes{ 0 };
+    Count attempts{ 0 };
+    Count retries{ 0 };
+    Count hedges{ 0 };
+    Count hedgesWon{ 0 };
+    Count forwarded{ 0 };
+    /// Served here because the dispatcher could not be reached.
+    Count fallbacks{ 0 };
+    Count spilled{ 0 };
+    Count spilledBytes{ 0 };
+    Count spillsOverBudget{ 0 };
+    Count callersGone{ 0 };
+    /// Total time minus the time spent waiting for a target or another entry.
+    LatencyHistogram added;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/entry/internal/keyregister.cpp
@@ -0,0 +1,50 @@
+#include "entry/internal/keyregister.h"
+
+namespace lycheebay {
+
+KeyRegister::KeyRegister(const OutcomeLimits &limits, std::uint64_t incarnation,
+                         const IClock &clock)
+    : m_clock(clock)
+    , m_table(limits, incarnation)
+{}
+
+KeyDecision KeyRegister::begin(const IdempotencyKey &key, const RequestIdentity &identity,
+                               TimePoint deadline)
+{
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        KeyDecision decision = m_table.begin(key, identity, m_clock.now());
+        if (decision.state != KeyState::Wait)
+            return decision;
+        if (m_completed.wait_until(lock, deadline) == std::cv_status::timeout)
+            return m_table.begin(key, identity, m_clock.now());
+    }
+}
+
+void KeyRegister::complete(const IdempotencyKey &key, const Outcome &outcome)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (const auto *done = std::get_if<Done>(&outcome))
+            m_table.completeDone(key.text, done->response);
+        else if (std::holds_alternative<NotRun>(outcome))
+            m_table.completeNotRun(key.text);
+        else
+            m_table.completeUnknown(key.text);
+    }
+    m_completed.notify_all();
+}
+
+std::size_t KeyRegister::entryCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.entryCount();
+}
+
+std::size_t KeyRegister::byteCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.byteCount();
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/entry/internal/requestcontext.cpp
@@ -0,0 +1,227 @@
+#include "entry/internal/requestcontext.h"
+
+#include "transport/loadheader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr std::chrono::seconds kNotReadyRetryAfter{ 1 };
+
+using Fault = std::optional<Refusal>;
+
+Refusal refusal(int status, std::string reason)
+{
+    return { status, std::move(reason), {} };
+}
+
+std::optional<char> decodeEscape(std::string_view escape)
+{
+    unsigned value = 0;
+    if (escape.size() != 2)
+        return {};
+    const auto parsed = std::from_chars(escape.data(), escape.data() + 2, value, 16);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == escape.data() + 2;
+    if (!whole || value < 0x20 || value == 0x7f || value == '/' || value == '\\')
+        return {};
+    return static_cast<char>(value);
+}
+
+bool hasOddSegment(std::string_view path)
+{
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const auto end = path.find('/');
+        const std::string_view segment = path.substr(0, end);
+        const bool isLast = end == std::string_view::npos;
+        if (segment == "." || segment == ".." || (segment.empty() && !isLast))
+            return true;
+        path = isLast ? std::string_view() : path.substr(end);
+    }
+    return false;
+}
+
+Fault lookUpRoute(RequestContext &context)
+{
+    const std::string_view target = context.request.target;
+    const auto slash = target.find('/', kServicesPrefix.size());
+    const auto end = std::min(slash, std::min(target.find('?'), target.size()));
+    context.service = target.substr(kServicesPrefix.size(), end - kServicesPrefix.size());
+    context.targetPath = target.substr(end);
+    if (!context.targetPath.starts_with('/'))
+        context.targetPath.insert(0, "/");
+    const Estate &estate = *context.configuration->estate();
+    if (!estate.hasService(context.service))
+        return refusal(404, "unknown service");
+    // Matched as decoded, so that no spelling of a path escapes the rules of its route.
+    const std::string_view path(context.targetPath);
+    const auto decoded = decodePath(path.substr(0, path.find('?')));
+    if (!decoded)
+        return refusal(400, "the path is ambiguous");
+    const Route *route = estate.findRoute(context.service, context.request.method, *decoded);
+    if (!route)
+        return refusal(404, "no route for this method and path");
+    context.route = *route;
+    return {};
+}
+
+/// Keeps what both lists allow; false when nothing is left.
+bool intersectRegions(std::vector<std::string> &regions, const std::vector<std::string> &others)
+{
+    if (others.empty())
+        return true;
+    if (regions.empty()) {
+        regions = others;
+        return true;
+    }
+    std::erase_if(regions, [&](const std::string &region) {
+        return std::find(others.begin(), others.end(), region) == others.end();
+    });
+    return !regions.empty();
+}
+
+Fault checkHomeRegions(RequestContext &context, const std::string &region)
+{
+    const HttpHeaders &headers = context.request.headers;
+    context.homeRegions = context.route.homeRegions;
+    bool servable = true;
+    if (countHeader(headers, kTenantHeader) > 1)
+        return refusal(400, "repeated tenant header");
+    if (const std::string *name = findHeader(headers, kTenantHeader)) {
+        const Tenant *tenant = context.configuration->estate()->findTenant(*name);
+        if (!tenant)
+            return refusal(403, "unknown tenant");
+        context.tenant = *name;
+        servable = intersectRegions(context.homeRegions, tenant->homeRegions);
+    }
+    if (!servable || !context.mayLeaveTo(region))
+        return refusal(421, "not served in this region");
+    return {};
+}
+
+Fault readDeadline(RequestContext &context, const EntrySettings &settings)
+{
+    context.deadline = context.began + settings.defaultDeadline;
+    const std::string *text = findHeader(context.request.headers, kDeadlineHeader);
+    if (!text)
+        return {};
+    const auto maxMs = std::chrono::duration_cast<milliseconds>(settings.maxDeadline).count();
+    std::int64_t value = 0;
+    const auto end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 1 || value > maxMs
+        || countHeader(context.request.headers, kDeadlineHeader) > 1) {
+        return refusal(400, fmt::format("{} must be 1 to {}", kDeadlineHeader, maxMs));
+    }
+    context.deadline = context.began + milliseconds(value);
+    return {};
+}
+
+Fault readKey(RequestContext &context)
+{
+    const HttpHeaders &headers = context.request.headers;
+    const std::string *text = findHeader(headers, kKeyHeader);
+    if (context.route.idempotent)
+        return {};
+    if (!text) {
+        return refusal(428, fmt::format("{} is missing; it begins with the ticket from "
+                                        "/v1/addresses?service={}",
+                                        kKeyHeader, context.service));
+    }
+    const auto key = parseIdempotencyKey(*text);
+    if (!key.ok() || countHeader(headers, kKeyHeader) > 1)
+        return refusal(400, "repeated or malformed Idempotency-Key");
+    context.key = *key;
+    return {};
+}
+
+/// A value is believed only when it names an entry of the plan.
+RequestOrigin readOrigin(RequestContext &context, const std::string &region)
+{
+    const std::string *text = findHeader(context.request.headers, kForwardedHeader);
+    std::uint64_t incarnation = 0;
+    const Member *member = nullptr;
+    if (text) {
+        std::from_chars(text->data(), text->data() + text->size(), incarnation, 16);
+        if (forwardedValue(incarnation) == *text)
+            member = context.plan->findIncarnation(incarnation);
+    }
+    removeHeader(context.request.headers, kForwardedHeader);
+    if (!member)
+        return RequestOrigin::Caller;
+    return member->identity.region == region ? RequestOrigin::SameRegion
+                                             : RequestOrigin::OtherRegion;
+}
+
+} // namespace
+
+bool RequestContext::mayLeaveTo(const std::string &region) const
+{
+    return homeRegions.empty()
+           || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+}
+
+std::string forwardedValue(std::uint64_t incarnation)
+{
+    return fmt::format("{:016x}", incarnation);
+}
+
+std::optional<std::string> decodePath(std::string_view path)
+{
+    std::string decoded;
+    while (!path.empty()) {
+        if (path.front() != '%') {
+            if (path.front() == '\\')
+                return {};
+            decoded += path.front();
+            path.remove_prefix(1);
+            continue;
+        }
+        const auto c = decodeEscape(path.substr(1, 2));
+        if (!c)
+            return {};
+        decoded += *c;
+        path.remove_prefix(3);
+    }
+    if (!decoded.starts_with('/') || hasOddSegment(decoded))
+        return {};
+    return decoded;
+}
+
+std::variant<RequestContext, Refusal> buildContext(const HttpRequest &request,
+                                                   const ICaller &caller,
+                                                   const EntrySettings &settings,
+                                                   const Blackboard &board, TimePoint now)
+{
+    RequestContext context;
+    context.configuration = board.configuration.read();
+    context.plan = board.plan.read();
+    if (!context.configuration || !context.plan)
+        return Refusal{ 503, "no configuration yet", kNotReadyRetryAfter };
+    if (!request.target.starts_with(kServicesPrefix))
+        return refusal(404, "unknown path");
+    context.request = request;
+    context.began = now;
+    context.caller = &caller;
+    if (Fault fault = lookUpRoute(context))
+        return *fault;
+    if (Fault fault = checkHomeRegions(context, settings.self.region))
+        return *fault;
+    if (Fault fault = readDeadline(context, settings))
+        return *fault;
+    if (Fault fault = readKey(context))
+        return *fault;
+    context.origin = readOrigin(context, settings.self.region);
+    context.fingerprint = identifyRequest(context.request, context.tenant).low;
+    return context;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/entry/internal/suspectregistry.cpp
@@ -0,0 +1,67 @@
+#include "entry/internal/suspectregistry.h"
+
+namespace lycheebay {
+
+SuspectRegistry::SuspectRegistry(const SuspectLimits &limits, const IClock &clock,
+                                 IPeerSharing &sharing, EntryCounters &counters)
+    : m_clock(clock)
+    , m_sharing(sharing)
+    , m_counters(counters)
+    , m_suspects(limits)
+{
+    m_sharing.setSuspectReceiver([this](const SharedSuspect &suspect) {
+        const std::lock_guard lock(m_mutex);
+        m_suspects.adopt(suspect, m_clock.now());
+    });
+}
+
+SuspectRegistry::~SuspectRegistry()
+{
+    m_sharing.setSuspectReceiver(nullptr);
+}
+
+Admission SuspectRegistry::admit(Fingerprint fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_suspects.admit(fingerprint, m_clock.now());
+}
+
+void SuspectRegistry::release(Fingerprint fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_suspects.release(fingerprint);
+}
+
+void SuspectRegistry::succeed(Fingerprint fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_suspects.succeed(fingerprint);
+}
+
+void SuspectRegistry::strike(Fingerprint fingerprint, const std::vector<std::string> &homeRegions,
+                             TimePoint attemptBegan)
+{
+    SharedSuspect shared;
+    {
+        const std::lock_guard lock(m_mutex);
+        shared = m_suspects.strike(fingerprint, homeRegions, attemptBegan, m_clock.now());
+    }
+    if (shared.strikes == 0)
+        return;
+    ++m_counters.crashStrikes;
+    m_sharing.shareSuspect(shared);
+}
+
+Duration SuspectRegistry::refusedFor(Fingerprint fingerprint) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_suspects.refusedFor(fingerprint, m_clock.now());
+}
+
+std::size_t SuspectRegistry::count() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_suspects.count();
+}
+
+} // namespace lycheebay
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <exception>
 
 namespace lycheebay {
@@ -40,6 +41,14 @@
     return method != "HEAD" && status != 204 && status != 304;
 }
 
+/// A control character could end the header early for the caller (response splitting).
+bool isSendable(const HttpHeader &header)
+{
+    const std::string text = header.name + header.value;
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return c != '\t' && static_cast<unsigned char>(c) < 0x20; });
+}
+
 HeadLimits headLimits(const HttpFrontSettings &settings)
 {
     return { settings.maxTargetBytes, settings.maxHeadBytes, settings.maxHeaders,
@@ -67,7 +76,7 @@
 void CallerConnection::refuse()
 {
     const Refusal refusal{ 503, "too many connections to this instance", kRefusedRetryAfter };
-    respond(problemResponse("not-run", refusal), "GET", false);
+    respond(m_stream, problemResponse("not-run", refusal), "", false);
     drain();
 }
 
@@ -94,7 +103,7 @@
         return false;
     const HttpResponse response = handle(head.request);
     const bool keepAlive = head.keepAlive && !m_stopping.isCancelled();
-    return respond(response, head.request.method, keepAlive) && keepAlive;
+    return respond(m_stream, response, head.request.method, keepAlive) && keepAlive;
 }
 
 bool CallerConnection::readHead(std::size_t &headBytes)
@@ -160,32 +169,28 @@
     ++m_counters.badRequests;
     // A timed-out stream sends nothing more, so the answer takes a new one.
     DeadlineStream stream(m_socket);
-    stream.setDeadline(after(m_settings.writeTimeout));
-    const HttpResponse response = problemResponse("not-run", { status, std::move(reason), {} });
-    stream.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/problem+json\r\n"
-                             "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-                             status, reasonPhrase(status), response.body.size(), response.body));
-    stream.flush();
+    respond(stream, problemResponse("not-run", { status, std::move(reason), {} }), "", false);
     drain();
 }
 
-bool CallerConnection::respond(const HttpResponse &response, std::string_view method,
-                               bool keepAlive)
+bool CallerConnection::respond(DeadlineStream &stream, const HttpResponse &response,
+                               std::string_view method, bool keepAlive)
 {
-    m_stream.setDeadline(after(m_settings.writeTimeout));
-    m_stream.write(
-            fmt::format("HTTP/1.1 {} {}\r\n", response.status, reasonPhrase(response.status)));
-    for (const HttpHeader &header : endToEndHeaders(response.headers))
-        m_stream.write(fmt::format("{}: {}\r\n", header.name, header.value));
+    stream.setDeadline(after(m_settings.writeTimeout));
+    stream.write(fmt::format("HTTP/1.1 {} {}\r\n", response.status, reasonPhrase(response.status)));
+    for (const HttpHeader &header : endToEndHeaders(response.headers)) {
+        if (isSendable(header))
+            stream.write(fmt::format("{}: {}\r\n", header.name, header.value));
+    }
     if (!keepAlive)
-        m_stream.write("Connection: close\r\n");
+        stream.write("Connection: close\r\n");
     const bool withBody = mayHaveBody(method, response.status);
     if (withBody)
-        m_stream.write(fmt::format("Content-Length: {}\r\n", response.body.size()));
-    m_stream.write("\r\n");
+        stream.write(fmt::format("Content-Length: {}\r\n", response.body.size()));
+    stream.write("\r\n");
     if (withBody)
-        m_stream.write(response.body);
-    return m_stream.flush();
+        stream.write(response.body);
+    return stream.flush();
 }
 
 void CallerConnection::drain()
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -25,7 +25,8 @@
     bool readBody(const RequestHead &head, std::string &body);
     HttpResponse handle(const HttpRequest &request);
     void reject(int status, std::string reason);
-    bool respond(const HttpResponse &response, std::string_view method, bool keepAlive);
+    bool respond(DeadlineStream &stream, const HttpResponse &response, std::string_view method,
+                 bool keepAlive);
     void drain();
 
     const int m_socket;
--- a/src/transport/internal/requesthead.cpp
+++ b/src/transport/internal/requesthead.cpp
@@ -107,7 +107,7 @@
     }
     if (countHeader(headers, "Host") != 1)
         return HeadError{ 400, "not exactly one Host header" };
-    if (const Fault fault = parseContentLength(headers, limits, head.bodyBytes))
+    if (Fault fault = parseContentLength(headers, limits, head.bodyBytes))
         return fault;
     const std::string &method = head.request.method;
     if (!hasLength && (method == "POST" || method == "PUT" || method == "PATCH"))
--- a/src/transport/problem.h
+++ b/src/transport/problem.h
@@ -8,5 +8,8 @@
 HttpResponse problemResponse(const char *outcome, const Refusal &refusal);
 /// Renders an outcome for the caller. Precondition: a Done has a response.
 HttpResponse renderOutcome(const Outcome &outcome);
+/// Reads back what another entry rendered. A response without the header Lycheebay-Outcome is
+/// Done; an unreadable one is Unknown. Precondition: \a response is not null.
+Outcome parseOutcome(const std::shared_ptr<const HttpResponse> &response);
 
 } // namespace lycheebay
--- a/src/transport/targetclient.cpp
+++ b/src/transport/targetclient.cpp
@@ -16,6 +16,12 @@
     return std::chrono::steady_clock::now();
 }
 
+bool mayStart(TimePoint deadline, const SendGate &gate)
+{
+    const TimePoint now = steadyNow();
+    return now < deadline && (!gate || gate(now));
+}
+
 } // namespace
 
 class TargetClient::Private
@@ -130,7 +136,7 @@
     if (state != StreamState::Open) {
         if (state != StreamState::Cancelled)
             answer.result.outcome = AttemptOutcome::NotConnected;
-    } else if (gate && !gate(steadyNow())) {
+    } else if (!mayStart(deadline, gate)) {
         reusable = true;
     } else {
         reusable = connection->exchange(address, request, deadline, cancellation,
--- a/src/transport/targetclient.h
+++ b/src/transport/targetclient.h
@@ -33,8 +33,8 @@
     bool responseBegan = false;
 };
 
-/// Asked right before the first byte of a request is sent; false prevents the send, and the
-/// answer is Cancelled and not sent.
+/// Asked right before the first byte of a request is sent; false prevents the send, as a passed
+/// deadline does, and the answer is Cancelled and not sent.
 using SendGate = std::function<bool(TimePoint now)>;
 
 /// Exchanges requests with targets and other entries over kept connections, one exchange at a time
