Add the lease, the member table and the peer links

Change: ConfigurationLease reduces all evidence to its time of production on the own clock. MemberTable, selectNeighbours and the roster decisions are pure.

--- /dev/null
+++ b/src/membership/membertable.cpp
@@ -0,0 +1,386 @@
+#include "membership/membertable.h"
+
+#include "base/hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+constexpr std::size_t kMaxReplacedIncarnations = 8;
+
+bool contains(const std::vector<std::uint64_t> &numbers, std::uint64_t number)
+{
+    return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+}
+
+} // namespace
+
+MemberTable::MemberTable(RosterMember self, std::int64_t startedAtMs, MemberTableSettings settings,
+                         TimePoint now)
+    : m_settings(settings)
+    , m_selfId(self.instanceId)
+    , m_selfRegion(self.region)
+    , m_lastTick(now)
+{
+    MemberUpdate update;
+    update.identity = std::move(self);
+    update.startedAtMs = startedAtMs;
+    insert(update, now);
+}
+
+const MemberRecord *MemberTable::find(const std::string &instanceId) const
+{
+    const auto it = m_records.find(instanceId);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+void MemberTable::setRoster(const std::vector<RosterMember> &roster, TimePoint now)
+{
+    for (auto &[id, record] : m_records)
+        record.inRoster = false;
+    for (const RosterMember &member : roster) {
+        MemberUpdate update;
+        update.identity = member;
+        auto it = m_records.find(member.instanceId);
+        MemberRecord *record = it == m_records.end() ? insert(update, now) : &it->second;
+        if (!record)
+            continue;
+        RosterMember &known = record->update.identity;
+        if (known.incarnation != member.incarnation) {
+            // The log orders joins; an incarnation that has not joined may be newer than the
+            // roster.
+            const bool joinedLater = known.joinedAt != 0 && known.joinedAt < member.joinedAt;
+            const bool seenReplaced = contains(record->replacedIncarnations, member.incarnation);
+            if (!joinedLater || seenReplaced || member.instanceId == m_selfId)
+                continue;
+            replace(*record, update, now);
+        }
+        known.joinedAt = member.joinedAt;
+        record->inRoster = true;
+    }
+    ++m_localSequence;
+}
+
+void MemberTable::setPlatformLeaving(const StringSet &instanceIds)
+{
+    for (auto &[id, record] : m_records) {
+        const bool leaving = instanceIds.contains(id);
+        if (leaving == record.platformLeaving)
+            continue;
+        record.platformLeaving = leaving;
+        ++m_localSequence;
+    }
+}
+
+void MemberTable::setMonitored(const StringSet &instanceIds, TimePoint now)
+{
+    for (auto &[id, record] : m_records) {
+        const bool monitored = id != m_selfId && instanceIds.contains(id);
+        if (monitored && !record.monitored)
+            record.monitoredSince = now;
+        record.monitored = monitored;
+    }
+}
+
+void MemberTable::setLeaving(bool leaving)
+{
+    MemberRecord &record = m_records.at(m_selfId);
+    if (record.update.leaving == leaving)
+        return;
+    record.update.leaving = leaving;
+    changed(record);
+}
+
+std::uint64_t MemberTable::beginHeartbeat()
+{
+    return ++m_records.at(m_selfId).update.heartbeat;
+}
+
+bool MemberTable::heard(const MemberUpdate &update, TimePoint now)
+{
+    if (update.identity.instanceId == m_selfId)
+        return update.identity.incarnation == self().update.identity.incarnation;
+    MemberRecord *record = resolve(update, now);
+    if (!record)
+        return !isReplaced(update);
+    // News that others relay may overtake the member's own link.
+    if (update.heartbeat > record->directHeartbeat) {
+        record->directHeartbeat = update.heartbeat;
+        record->lastHeard = now;
+    }
+    const bool newer = update.heartbeat > record->update.heartbeat;
+    if (!newer && record->update.heartbeat != 0)
+        return true;
+    record->update.heartbeat = update.heartbeat;
+    if (record->unreachable) {
+        record->unreachable = false;
+        ++m_localSequence;
+    }
+    if (record->update.state != MemberState::Alive)
+        setState(*record, MemberState::Alive, now);
+    if (update.leaving != record->update.leaving) {
+        record->update.leaving = update.leaving;
+        changed(*record);
+    }
+    return true;
+}
+
+void MemberTable::merge(const MemberUpdate &update, TimePoint now)
+{
+    if (update.identity.instanceId == m_selfId) {
+        mergeSelf(update);
+        return;
+    }
+    const bool known = m_records.contains(update.identity.instanceId);
+    if (!known && update.state == MemberState::Dead)
+        return;
+    MemberRecord *record = resolve(update, now);
+    if (record)
+        mergeState(*record, update, now);
+}
+
+void MemberTable::mergeSelf(const MemberUpdate &update)
+{
+    MemberRecord &record = m_records.at(m_selfId);
+    if (update.identity.incarnation != record.update.identity.incarnation
+        || update.state == MemberState::Alive)
+        return;
+    // Refutes: a higher heartbeat number outweighs the suspicion everywhere.
+    record.update.heartbeat = std::max(record.update.heartbeat, update.heartbeat) + 1;
+    changed(record);
+}
+
+void MemberTable::mergeState(MemberRecord &record, const MemberUpdate &update, TimePoint now)
+{
+    MemberUpdate &known = record.update;
+    const bool worse = update.state > known.state && update.heartbeat >= known.heartbeat;
+    const bool better = update.state < known.state && update.heartbeat > known.heartbeat;
+    const bool contradicted = update.state > known.state && !worse;
+    if (update.leaving && !known.leaving && update.heartbeat >= known.heartbeat) {
+        known.leaving = true;
+        changed(record);
+    }
+    if (worse || better) {
+        known.heartbeat = update.heartbeat;
+        setState(record, update.state, now);
+    } else if (contradicted) {
+        // The sender lacks a newer heartbeat that this instance knows; tell it again.
+        changed(record);
+    }
+    if (update.state != known.state || update.heartbeat <= known.heartbeat)
+        return;
+    known.heartbeat = update.heartbeat;
+    if (update.state == MemberState::Alive && record.unreachable) {
+        record.unreachable = false;
+        ++m_localSequence;
+    }
+}
+
+MemberTable::Order MemberTable::compareIncarnation(const MemberRecord &known,
+                                                   const MemberUpdate &update)
+{
+    const MemberUpdate &mine = known.update;
+    if (mine.identity.incarnation == update.identity.incarnation)
+        return Order::Same;
+    if (contains(known.replacedIncarnations, update.identity.incarnation))
+        return Order::Older;
+    // Without a start time only the log can order the two; a new incarnation will join there.
+    if (mine.startedAtMs == 0 || update.startedAtMs == 0)
+        return Order::Undecided;
+    if (mine.startedAtMs != update.startedAtMs)
+        return mine.startedAtMs < update.startedAtMs ? Order::Newer : Order::Older;
+    return mine.identity.incarnation < update.identity.incarnation ? Order::Newer : Order::Older;
+}
+
+MemberRecord *MemberTable::resolve(const MemberUpdate &update, TimePoint now)
+{
+    const auto it = m_records.find(update.identity.instanceId);
+    if (it == m_records.end())
+        return insert(update, now);
+    MemberRecord &record = it->second;
+    switch (compareIncarnation(record, update)) {
+    case Order::Same:
+        if (record.update.startedAtMs == 0)
+            record.update.startedAtMs = update.startedAtMs;
+        return &record;
+    case Order::Newer:
+        replace(record, update, now);
+        return &record;
+    case Order::Undecided:
+        // A silent incarnation that is known from the roster only gives way to one that speaks.
+        if (record.update.state == MemberState::Alive || update.startedAtMs == 0)
+            return nullptr;
+        replace(record, update, now);
+        // The roster's incarnation may still turn out to be the newer one.
+        record.replacedIncarnations.pop_back();
+        return &record;
+    case Order::Older:
+        return nullptr;
+    }
+    return nullptr;
+}
+
+bool MemberTable::isReplaced(const MemberUpdate &update) const
+{
+    const auto it = m_records.find(update.identity.instanceId);
+    return it != m_records.end() && compareIncarnation(it->second, update) == Order::Older;
+}
+
+MemberRecord *MemberTable::insert(const MemberUpdate &update, TimePoint now)
+{
+    if (m_records.size() >= m_settings.maxMembers && !makeRoom())
+        return nullptr;
+    MemberRecord &record = m_records[update.identity.instanceId];
+    record.update = update;
+    record.lastHeard = now;
+    record.stateSince = now;
+    changed(record);
+    return &record;
+}
+
+void MemberTable::replace(MemberRecord &record, const MemberUpdate &update, TimePoint now)
+{
+    std::vector<std::uint64_t> &replaced = record.replacedIncarnations;
+    replaced.push_back(record.update.identity.incarnation);
+    if (replaced.size() > kMaxReplacedIncarnations)
+        replaced.erase(replaced.begin());
+    record.update = update;
+    record.directHeartbeat = 0;
+    record.lastHeard = now;
+    record.stateSince = now;
+    record.monitoredSince = now;
+    record.inRoster = false;
+    record.unreachable = false;
+    changed(record);
+}
+
+void MemberTable::setState(MemberRecord &record, MemberState state, TimePoint now)
+{
+    record.update.state = state;
+    record.stateSince = now;
+    changed(record);
+}
+
+void MemberTable::changed(MemberRecord &record)
+{
+    record.changeSequence = ++m_changeSequence;
+    ++m_localSequence;
+}
+
+bool MemberTable::makeRoom()
+{
+    const auto it = std::find_if(m_records.begin(), m_records.end(), [](const auto &entry) {
+        return entry.second.update.state == MemberState::Dead && !entry.second.inRoster;
+    });
+    if (it == m_records.end())
+        return false;
+    m_records.erase(it);
+    return true;
+}
+
+void MemberTable::tick(TimePoint now)
+{
+    if (now - m_lastTick > m_settings.pauseGap)
+        forgivePause(now);
+    m_lastTick = now;
+    for (auto &[id, record] : m_records)
+        judgeSilence(record, now);
+    forgetDead(now);
+}
+
+void MemberTable::forgivePause(TimePoint now)
+{
+    // Nobody could be heard while this process did not run, so the silence proves nothing.
+    for (auto &[id, record] : m_records) {
+        record.monitoredSince = now;
+        record.stateSince = now;
+    }
+}
+
+void MemberTable::judgeSilence(MemberRecord &record, TimePoint now)
+{
+    if (record.update.state == MemberState::Suspected
+        && now - record.stateSince >= m_settings.deadAfter) {
+        setState(record, MemberState::Dead, now);
+        return;
+    }
+    const TimePoint silentSince = std::max(record.lastHeard, record.monitoredSince);
+    const bool silent = record.monitored && now - silentSince >= m_settings.suspectAfter;
+    if (!silent || record.update.state != MemberState::Alive)
+        return;
+    if (record.update.identity.region == m_selfRegion) {
+        setState(record, MemberState::Suspected, now);
+    } else if (!record.unreachable) {
+        record.unreachable = true;
+        ++m_localSequence;
+    }
+}
+
+void MemberTable::forgetDead(TimePoint now)
+{
+    const auto expired = [&](const auto &entry) {
+        const MemberRecord &record = entry.second;
+        return record.update.state == MemberState::Dead && !record.inRoster
+               && now - record.stateSince >= m_settings.forgetAfter;
+    };
+    if (std::erase_if(m_records, expired) > 0)
+        ++m_localSequence;
+}
+
+std::vector<MemberUpdate> MemberTable::changesAfter(std::uint64_t &cursor,
+                                                    std::size_t maxCount) const
+{
+    std::vector<const MemberRecord *> newer;
+    if (cursor < m_changeSequence) {
+        for (const auto &[id, record] : m_records) {
+            if (record.changeSequence > cursor)
+                newer.push_back(&record);
+        }
+    }
+    std::sort(newer.begin(), newer.end(), [](const MemberRecord *a, const MemberRecord *b) {
+        return a->changeSequence < b->changeSequence;
+    });
+    std::vector<MemberUpdate> result;
+    for (std::size_t i = 0; i < std::min(maxCount, newer.size()); ++i) {
+        result.push_back(newer[i]->update);
+        cursor = newer[i]->changeSequence;
+    }
+    if (newer.size() <= maxCount)
+        cursor = m_changeSequence;
+    return result;
+}
+
+std::vector<MemberUpdate> MemberTable::page(std::string &cursor, std::size_t maxCount) const
+{
+    std::vector<MemberUpdate> result;
+    auto it = m_records.upper_bound(cursor);
+    for (; it != m_records.end() && result.size() < maxCount; ++it) {
+        if (it->second.update.state != MemberState::Dead)
+            result.push_back(it->second.update);
+    }
+    cursor = it == m_records.end() || result.empty() ? std::string()
+                                                     : result.back().identity.instanceId;
+    return result;
+}
+
+std::uint64_t MemberTable::stateHash() const
+{
+    if (m_hashedSequence == m_localSequence)
+        return m_hash;
+    m_hash = 0;
+    for (const auto &[id, record] : m_records) {
+        const MemberUpdate &update = record.update;
+        if (update.state == MemberState::Dead)
+            continue;
+        m_hash ^= hash64(fmt::format("{}\n{}\n{}\n{}", id, update.identity.incarnation,
+                                     static_cast<int>(update.state), update.leaving));
+    }
+    m_hashedSequence = m_localSequence;
+    return m_hash;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/internal/peernodeimpl.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "membership/neighbours.h"
+#include "transport/internal/configurationrelay.h"
+#include "transport/internal/peercodec.h"
+#include "transport/internal/peerlinkstate.h"
+#include "transport/internal/suspectboard.h"
+#include "transport/internal/verdictboard.h"
+#include "transport/peernode.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace lycheebay {
+
+/// One mutex guards the state. Whatever may call back into the node (the callbacks and the
+/// follower, which publishes configurations) is called after the mutex is released.
+class PeerNode::Impl final : public IPeerLinkListener, public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(PeerNodeSettings settings, const IClock &clock, IPeerLinks &links,
+         IConfigurationFollower &follower, ConfigurationLease &lease, PeerNodeCallbacks callbacks);
+
+    absl::Status start(ITimerService &timers);
+    void stop();
+    void tick();
+    void setConfiguration(const IntrusivePtr<const ConfigurationState> &configuration);
+    void setSeeds(std::vector<Address> addresses);
+    void setPlatformLeaving(const StringSet &instanceIds);
+    void setLeaving(bool leaving);
+    void shareVerdicts(const std::vector<TargetVerdict> &verdicts);
+    void shareSuspects(const std::vector<SharedCrashSuspect> &suspects);
+    IntrusivePtr<const CellPlan> plan() const;
+    PeerTraffic traffic() const;
+    std::vector<PeerStatus> peers() const;
+
+    void linkOpened(LinkId link, bool outbound, const Address &remote) override;
+    absl::Status frameReceived(LinkId link, std::string_view frame) override;
+    void linkClosed(LinkId link) override;
+
+private:
+    using Links = std::map<LinkId, PeerLinkState>;
+    using Actions = std::vector<std::function<void()>>;
+
+    template <typename Step>
+    void run(Step step)
+    {
+        Actions actions;
+        {
+            const std::lock_guard lock(m_mutex);
+            step();
+            actions.swap(m_actions);
+        }
+        for (const auto &action : actions)
+            action();
+    }
+
+    /// Runs a timer's work unless the node is stopped; stop() waits for it.
+    template <typename Work>
+    void runTimer(Work work)
+    {
+        const std::lock_guard lock(m_timerMutex);
+        if (!m_timersStopped)
+            work();
+    }
+
+    // Frames; in peernodeframes.cpp.
+    absl::Status handle(LinkId link, wire::FrameT &frame);
+    absl::Status handleHello(LinkId link, const wire::HelloT &hello);
+    absl::Status handleHeartbeat(LinkId link, const wire::HeartbeatT &heartbeat);
+    void renewLease(const PeerLinkState &state, const wire::HeartbeatT &heartbeat, TimePoint now);
+    void handleRecords(LinkId link, const wire::RecordBatchT &records);
+    absl::Status handlePart(LinkId link, const wire::BatchPartT &part);
+    absl::Status handleVerdicts(LinkId link, const wire::VerdictBatchT &batch);
+    void handleSuspects(LinkId link, const wire::CrashSuspectBatchT &batch);
+    bool keepsLink(LinkId link, const PeerLinkState &state);
+    void greet(LinkId link, PeerLinkState &state);
+
+    // Sending; in peernodesending.cpp.
+    void sendFrame(LinkId link, PeerLinkState &state, PeerMessage kind, std::string frame);
+    void sendHeartbeat(LinkId link, PeerLinkState &state, TimePoint now);
+    void sendHeartbeats(TimePoint now);
+    void sendVerdicts(const std::vector<StampedVerdict> &verdicts, LinkId except);
+    void sendVerdictsTo(LinkId link, PeerLinkState &state,
+                        const std::vector<StampedVerdict> &verdicts);
+    void sendSuspects(const std::vector<SharedCrashSuspect> &suspects, LinkId except);
+    void sendSuspectsTo(LinkId link, PeerLinkState &state,
+                        const std::vector<SharedCrashSuspect> &suspects);
+    void sendBatch(LinkId link, const LogBatch &batch);
+    void exchangeRecords(TimePoint now);
+    void pushRecords(const std::vector<ConfigurationRelay::Push> &pushes);
+    void answerRequest(LinkId link, std::uint64_t from);
+    void offer(LinkId link, const LogBatch &batch);
+    void count(PeerLinkState &state, PeerMessage kind, std::size_t size, bool out);
+
+    // Periodic work; in peernodeimpl.cpp.
+    void closeSilentLinks(TimePoint now);
+    void updateNeighbours(TimePoint now);
+    void chooseContacts(TimePoint now);
+    std::vector<Address> desiredAddresses(const Neighbours &neighbours) const;
+    void decideRemovals(TimePoint now);
+    void publishPlan();
+    const PeerLinkState *linkOf(const std::string &instanceId) const;
+    bool sharesRegion(const PeerLinkState &state) const;
+
+    const PeerNodeSettings m_settings;
+    const IClock &m_clock;
+    IPeerLinks &m_links;
+    IConfigurationFollower &m_follower;
+    ConfigurationLease &m_lease;
+    const PeerNodeCallbacks m_callbacks;
+
+    std::mutex m_timerMutex;
+    bool m_timersStopped = false;
+
+    mutable std::mutex m_mutex;
+    ITimerService *m_timers = nullptr;
+    TimerSubscription m_tickTimer;
+    TimerSubscription m_pushTimer;
+    Actions m_actions;
+    MemberTable m_table;
+    Links m_open;
+    ConfigurationRelay m_relay;
+    VerdictBoard m_verdicts;
+    SuspectBoard m_suspects;
+    PeerTraffic m_traffic;
+    std::vector<RosterMember> m_roster;
+    IntrusivePtr<const CellPlan> m_plan;
+    std::vector<Address> m_seeds;
+    std::vector<Address> m_contacts;
+    std::vector<Address> m_desired;
+    TimePoint m_contactsChosenAt;
+    std::size_t m_contactCursor = 0;
+    std::uint64_t m_ownOffset = 0;
+    std::uint64_t m_nextTransfer = 1;
+    int m_verdictRequests = 0;
+    std::map<std::string, TimePoint> m_removalsAsked;
+    std::uint64_t m_planSequence = ~std::uint64_t{ 0 };
+    std::uint64_t m_neighbourSequence = ~std::uint64_t{ 0 };
+    bool m_linksChanged = true;
+    bool m_stopped = false;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/transport/peertraffic.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace lycheebay {
+
+/// Kinds of frames on peer links, for the byte counters.
+enum class PeerMessage {
+    Hello,
+    Heartbeat,
+    Records,
+    RecordRequest,
+    Verdicts,
+    VerdictRequest,
+    CrashSuspects
+};
+
+inline constexpr std::size_t kPeerMessageKinds = 7;
+
+/// Name of a message kind for metrics.
+constexpr std::string_view peerMessageName(PeerMessage kind)
+{
+    constexpr std::array<std::string_view, kPeerMessageKinds> kNames{
+        "hello",    "heartbeat",       "records",       "record_request",
+        "verdicts", "verdict_request", "crash_suspects"
+    };
+    return kNames[static_cast<std::size_t>(kind)];
+}
+
+/// Frames and bytes of one kind; bytes include the length prefix, not the TCP headers.
+struct PeerMessageTraffic
+{
+    std::uint64_t framesIn = 0;
+    std::uint64_t framesOut = 0;
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
+
+    auto operator<=>(const PeerMessageTraffic &) const = default;
+};
+
+/// Traffic by kind, indexed by PeerMessage.
+struct PeerTraffic
+{
+    using ByKind = std::array<PeerMessageTraffic, kPeerMessageKinds>;
+
+    /// Links within the own region, and those whose region is not known yet.
+    ByKind inRegion{};
+    ByKind betweenRegions{};
+
+    std::uint64_t totalBytes() const
+    {
+        std::uint64_t sum = 0;
+        for (const ByKind *side : { &inRegion, &betweenRegions }) {
+            for (const PeerMessageTraffic &kind : *side)
+                sum += kind.bytesIn + kind.bytesOut;
+        }
+        return sum;
+    }
+
+    auto operator<=>(const PeerTraffic &) const = default;
+};
+
+} // namespace lycheebay
