--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -116,10 +116,9 @@
     if (!newer && record->update.heartbeat != 0)
         return true;
     record->update.heartbeat = update.heartbeat;
-    if (record->unreachable) {
-        record->unreachable = false;
-        ++m_localSequence;
-    }
+    if (record->unreachable)
+        regionHeard(record->update.identity.region, now);
+    setUnreachable(*record, false, now);
     if (record->update.state != MemberState::Alive)
         setState(*record, MemberState::Alive, now);
     if (update.leaving != record->update.leaving) {
@@ -174,9 +173,32 @@
     if (update.state != known.state || update.heartbeat <= known.heartbeat)
         return;
     known.heartbeat = update.heartbeat;
-    if (update.state == MemberState::Alive && record.unreachable) {
-        record.unreachable = false;
-        ++m_localSequence;
+    if (update.state == MemberState::Alive)
+        setUnreachable(record, false, now);
+}
+
+void MemberTable::setUnreachable(MemberRecord &record, bool unreachable, TimePoint now)
+{
+    if (record.unreachable == unreachable)
+        return;
+    record.unreachable = unreachable;
+    record.unreachableSince = now;
+    ++m_localSequence;
+}
+
+void MemberTable::regionHeard(const std::string &region, TimePoint now)
+{
+    const auto isUsableThere = [&](const auto &entry) {
+        return entry.second.update.identity.region == region && entry.second.isUsable();
+    };
+    if (std::any_of(m_records.begin(), m_records.end(), isUsableThere))
+        return;
+    // The whole region was cut off and is back; its members are judged anew.
+    for (auto &[id, record] : m_records) {
+        if (record.update.identity.region != region || !record.unreachable)
+            continue;
+        record.monitoredSince = now;
+        setUnreachable(record, false, now);
     }
 }
 
@@ -308,16 +330,18 @@
         setState(record, MemberState::Dead, now);
         return;
     }
+    if (record.unreachable && now - record.unreachableSince >= m_settings.retryUnreachableAfter) {
+        record.monitoredSince = now;
+        setUnreachable(record, false, now);
+    }
     const TimePoint silentSince = std::max(record.lastHeard, record.monitoredSince);
     const bool silent = record.monitored && now - silentSince >= m_settings.suspectAfter;
     if (!silent || record.update.state != MemberState::Alive)
         return;
-    if (record.update.identity.region == m_selfRegion) {
+    if (record.update.identity.region == m_selfRegion)
         setState(record, MemberState::Suspected, now);
-    } else if (!record.unreachable) {
-        record.unreachable = true;
-        ++m_localSequence;
-    }
+    else
+        setUnreachable(record, true, now);
 }
 
 void MemberTable::forgetDead(TimePoint now)
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -45,6 +45,7 @@
     /// A member of another region that does not answer here. It is not told to others: a partition
     /// between regions must not remove a whole region from the roster.
     bool unreachable = false;
+    TimePoint unreachableSince;
     std::uint64_t changeSequence = 0;
     /// Newest last; their heartbeats are ignored.
     std::vector<std::uint64_t> replacedIncarnations;
@@ -58,6 +59,8 @@
     Duration suspectAfter = std::chrono::milliseconds(1500);
     Duration deadAfter = std::chrono::seconds(3);
     Duration forgetAfter = std::chrono::seconds(60);
+    /// An unreachable member of another region gets another chance after this time.
+    Duration retryUnreachableAfter = std::chrono::seconds(30);
     /// Two calls of tick() that are further apart than this show a pause of the own process.
     Duration pauseGap = std::chrono::seconds(1);
     std::size_t maxMembers = 4096;
@@ -118,6 +121,8 @@
     void setState(MemberRecord &record, MemberState state, TimePoint now);
     void mergeSelf(const MemberUpdate &update);
     void mergeState(MemberRecord &record, const MemberUpdate &update, TimePoint now);
+    void setUnreachable(MemberRecord &record, bool unreachable, TimePoint now);
+    void regionHeard(const std::string &region, TimePoint now);
     void judgeSilence(MemberRecord &record, TimePoint now);
     void forgivePause(TimePoint now);
     void forgetDead(TimePoint now);
--- a/src/transport/internal/peernodeimpl.cpp
+++ b/src/transport/internal/peernodeimpl.cpp
@@ -83,14 +83,14 @@
     });
 }
 
-void PeerNode::Impl::setConfiguration(const IntrusivePtr<const ConfigurationState> &configuration)
+void PeerNode::Impl::setConfiguration(const std::vector<RosterMember> &roster,
+                                      std::uint64_t nextOffset)
 {
     const TimePoint now = m_clock.now();
-    const std::vector<RosterMember> &roster = configuration->roster();
     m_lease.setAloneInRoster(isAloneInRegion(roster, m_settings.self), now);
-    m_lease.setOwnOffset(configuration->nextOffset(), now);
+    m_lease.setOwnOffset(nextOffset, now);
     run([&] {
-        m_ownOffset = std::max(m_ownOffset, configuration->nextOffset());
+        m_ownOffset = std::max(m_ownOffset, nextOffset);
         if (m_roster != roster) {
             m_roster = roster;
             m_table.setRoster(m_roster, now);
--- a/src/transport/internal/peernodeimpl.h
+++ b/src/transport/internal/peernodeimpl.h
@@ -25,7 +25,7 @@
     absl::Status start(ITimerService &timers);
     void stop();
     void tick();
-    void setConfiguration(const IntrusivePtr<const ConfigurationState> &configuration);
+    void setConfiguration(const std::vector<RosterMember> &roster, std::uint64_t nextOffset);
     void setSeeds(std::vector<Address> addresses);
     void setPlatformLeaving(const StringSet &instanceIds);
     void setLeaving(bool leaving);
--- a/src/transport/peernode.cpp
+++ b/src/transport/peernode.cpp
@@ -31,9 +31,9 @@
     m_impl->tick();
 }
 
-void PeerNode::setConfiguration(const IntrusivePtr<const ConfigurationState> &configuration)
+void PeerNode::setConfiguration(const std::vector<RosterMember> &roster, std::uint64_t nextOffset)
 {
-    m_impl->setConfiguration(configuration);
+    m_impl->setConfiguration(roster, nextOffset);
 }
 
 void PeerNode::setSeeds(std::vector<Address> addresses)
--- a/src/transport/peernode.h
+++ b/src/transport/peernode.h
@@ -32,7 +32,8 @@
     void tick();
 
     /// Call on each new configuration: takes the roster and passes new records on.
-    void setConfiguration(const IntrusivePtr<const ConfigurationState> &configuration);
+    /// \a nextOffset is ConfigurationState::nextOffset().
+    void setConfiguration(const std::vector<RosterMember> &roster, std::uint64_t nextOffset);
     /// Peer addresses from the settings and the platform's list, used when no member is known.
     void setSeeds(std::vector<Address> addresses);
     /// Ids that the platform's list shows as leaving.
--- a/src/transport/peernodetypes.h
+++ b/src/transport/peernodetypes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/configurationstate.h"
+#include "configuration/configurationtypes.h"
 #include "membership/cellplan.h"
 #include "membership/membertable.h"
 #include "routing/routingtypes.h"
