--- /dev/null
+++ b/src/routing/internal/istrategy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/irandomsource.h"
+#include "routing/celldispatcher.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace lycheebay {
+
+class TargetState;
+
+/// A target that may get the request.
+struct Candidate
+{
+    TargetState *target = nullptr;
+    /// Position in the target list.
+    std::size_t position = 0;
+    /// Estimated latency in seconds.
+    double latency = 0;
+};
+
+/// Rule that chooses among the targets that may get a request. Not thread-safe.
+class IStrategy
+{
+public:
+    virtual ~IStrategy() = default;
+
+    /// True when a request may wait and a target never gets more attempts than slots.
+    virtual bool isBoundedBySlots() const { return false; }
+
+    /// Returns the index of the chosen candidate. Precondition: \a candidates is not empty.
+    virtual std::size_t choose(std::span<const Candidate> candidates, IRandomSource &random) = 0;
+};
+
+std::unique_ptr<IStrategy> makeStrategy(StrategyKind kind);
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/routing/internal/outcomerecorder.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "routing/internal/attempt.h"
+#include "routing/internal/latencyhistogram.h"
+#include "routing/internal/targettable.h"
+
+namespace lycheebay {
+
+/// Draws conclusions from how attempts and probes ended: latency, ramp, ejection.
+/// Not thread-safe.
+class OutcomeRecorder
+{
+public:
+    explicit OutcomeRecorder(TargetTable &targets)
+        : m_targets(targets)
+    {}
+
+    /// Precondition: the attempt no longer counts as outstanding.
+    void recordAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now);
+    void recordProbe(TargetState &target, const std::optional<LoadReport> &load, TimePoint now);
+
+    /// Shrinks a target to its cold limit when it became much slower than the cell.
+    void shrinkIfSlow(TargetState &target, double referenceSeconds, TimePoint now) const;
+
+    const LatencyHistogram &latencies() const { return m_latencies; }
+
+private:
+    void recordAnswered(const Attempt &attempt, const AttemptResult &result, TimePoint now);
+    void recordNotAnswered(const Attempt &attempt, const AttemptResult &result, TimePoint now);
+    void recordShed(const Attempt &attempt, const AttemptResult &result, TimePoint now);
+    bool isFailure(const AttemptResult &result) const;
+    void climbRamp(TargetState &target, const AttemptResult &result);
+    void applyReport(TargetState &target, const std::optional<LoadReport> &load, TimePoint now);
+
+    TargetTable &m_targets;
+    LatencyHistogram m_latencies;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/routing/internal/statusreport.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "routing/internal/targettable.h"
+
+namespace lycheebay {
+
+/// Verdicts about all targets that are known, ejected or draining.
+std::vector<TargetVerdict> verdictsOf(const TargetTable &targets, TimePoint now);
+
+/// Status of all listed targets. \a prior is the cell's mean latency in seconds.
+std::vector<TargetStatus> statusOf(const TargetTable &targets, double prior, TimePoint now);
+
+} // namespace lycheebay
