--- a/standins/common/controlapi.h
+++ b/standins/common/controlapi.h
@@ -14,7 +14,7 @@
 HttpResponse errorResponse(int status, const std::string &message);
 
 /// A named number that a control request may set. Booleans count as 0 and 1.
-template<class T>
+template <class T>
 struct NumberField
 {
     const char *name;
@@ -23,7 +23,7 @@
 
 /// Sets the field called \a name in \a object when it is one of \a fields and \a value is a number
 /// or a boolean; returns whether it did.
-template<class T, std::size_t Count>
+template <class T, std::size_t Count>
 bool setNumber(T &object, const NumberField<T> (&fields)[Count], const std::string &name,
                const nlohmann::json &value)
 {
--- a/standins/common/httpserver.cpp
+++ b/standins/common/httpserver.cpp
@@ -9,9 +9,9 @@
 } // namespace
 
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpServer &server)
-    : m_socket(std::move(socket)), m_server(server)
-{
-}
+    : m_socket(std::move(socket))
+    , m_server(server)
+{}
 
 void HttpConnection::start()
 {
@@ -62,8 +62,8 @@
         return;
     response.closeAfter = response.closeAfter || m_closeAfter;
     m_output = response.serialize();
-    auto onWritten = [self = shared_from_this(), closeAfter = response.closeAfter](
-                             asio::error_code ec, std::size_t) {
+    auto onWritten = [self = shared_from_this(),
+                      closeAfter = response.closeAfter](asio::error_code ec, std::size_t) {
         if (ec || closeAfter) {
             self->close();
             return;
@@ -84,9 +84,10 @@
 }
 
 HttpServer::HttpServer(asio::io_context &context, RequestHandler onRequest)
-    : m_context(context), m_acceptor(context), m_onRequest(std::move(onRequest))
-{
-}
+    : m_context(context)
+    , m_acceptor(context)
+    , m_onRequest(std::move(onRequest))
+{}
 
 void HttpServer::setConnectionHandler(ConnectionHandler onConnection)
 {
--- a/standins/platform/tests/platformservertest.cpp
+++ b/standins/platform/tests/platformservertest.cpp
@@ -58,8 +58,7 @@
         setFaults({ { "loseAnswers", 1 } });
         CPPUNIT_ASSERT(!m_client->Post("/streams/s/records", "lost", "text/plain"));
         CPPUNIT_ASSERT_EQUAL(2, append("second"));
-        CPPUNIT_ASSERT_EQUAL(std::string("lost"),
-                             read(1)["records"][0]["data"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("lost"), read(1)["records"][0]["data"].get<std::string>());
     }
 
     /// Guards against an outage during which appends still take effect.
@@ -95,8 +94,7 @@
 
     json read(int from)
     {
-        const auto answer =
-                m_client->Get("/streams/s/records?max=10&from=" + std::to_string(from));
+        const auto answer = m_client->Get("/streams/s/records?max=10&from=" + std::to_string(from));
         CPPUNIT_ASSERT(answer && answer->status == 200);
         return json::parse(answer->body);
     }
--- a/standins/target/controlserver.cpp
+++ b/standins/target/controlserver.cpp
@@ -13,7 +13,7 @@
 bool matches(const TargetSpec &spec, const std::string &path)
 {
     return path == kTargetsPrefix + spec.id || path == std::string(kTargetsPrefix) + kAllTargets
-            || path == kDomainsPrefix + spec.failureDomain;
+           || path == kDomainsPrefix + spec.failureDomain;
 }
 
 } // namespace
@@ -23,12 +23,10 @@
                              RunRecord &runRecord)
     : m_targets(targets)
     , m_runRecord(runRecord)
-    , m_http(context,
-             [this](const HttpConnectionPtr &connection, const HttpRequest &request) {
-                 connection->respond(route(request));
-             })
-{
-}
+    , m_http(context, [this](const HttpConnectionPtr &connection, const HttpRequest &request) {
+        connection->respond(route(request));
+    })
+{}
 
 HttpResponse ControlServer::route(const HttpRequest &request)
 {
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -24,25 +24,26 @@
 Settings parseFlags(int argc, char **argv)
 {
     TCLAP::CmdLine cmd("Stand-in for many targets, each on its own address");
-    TCLAP::ValueArg<std::string> sheet("", "sheet", "Sheet to read targets from", false, "",
-                                       "FILE", cmd);
+    TCLAP::ValueArg<std::string> sheet("", "sheet", "Sheet to read targets from", false, "", "FILE",
+                                       cmd);
     TCLAP::MultiArg<std::string> service("", "service", "Only this service", false, "NAME", cmd);
     TCLAP::MultiArg<std::string> domain("", "domain", "Only this domain", false, "NAME", cmd);
     TCLAP::MultiArg<std::string> target("", "target", "Only this target", false, "ID", cmd);
-    TCLAP::MultiArg<std::string> listen("", "listen", "Target without a sheet; its id is the address",
-                                        false, "ADDR:PORT", cmd);
+    TCLAP::MultiArg<std::string> listen(
+            "", "listen", "Target without a sheet; its id is the address", false, "ADDR:PORT", cmd);
     TCLAP::ValueArg<int> slots("", "slots", "Slots of --listen", false, 3, "N", cmd);
     TCLAP::ValueArg<int> cold("", "cold-limit", "Cold limit of --listen", false, 1, "N", cmd);
     TCLAP::ValueArg<std::string> control("", "control", "Address of the control port", false,
                                          "127.0.0.1:7200", "ADDR:PORT", cmd);
-    TCLAP::ValueArg<std::string> distribution("", "distribution", "exponential or log-normal", false,
-                                              "log-normal", "NAME", cmd);
+    TCLAP::ValueArg<std::string> distribution("", "distribution", "exponential or log-normal",
+                                              false, "log-normal", "NAME", cmd);
     TCLAP::ValueArg<double> mean("", "service-ms", "Mean service time", false, 5, "MS", cmd);
     TCLAP::ValueArg<double> sigma("", "sigma", "Log-normal shape", false, 0.5, "S", cmd);
     TCLAP::ValueArg<int> queue("", "queue", "Requests that wait per target", false, 50, "N", cmd);
     TCLAP::ValueArg<double> coldFor("", "cold-for-ms", "Cold phase after a restart", false, 3000,
                                     "MS", cmd);
-    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the random source", false, 1, "N", cmd);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the random source", false, 1, "N",
+                                        cmd);
     TCLAP::SwitchArg startCold("", "start-cold", "Start in the cold phase", cmd);
     cmd.parse(argc, argv);
 
--- a/standins/target/runrecord.cpp
+++ b/standins/target/runrecord.cpp
@@ -4,8 +4,8 @@
 
 using nlohmann::json;
 
-void RunRecord::add(const std::string &key, const std::string &requestId,
-                    const std::string &target, const std::string &failureDomain)
+void RunRecord::add(const std::string &key, const std::string &requestId, const std::string &target,
+                    const std::string &failureDomain)
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const std::int64_t nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
--- a/standins/target/targetspec.cpp
+++ b/standins/target/targetspec.cpp
@@ -44,8 +44,9 @@
     spec.service = cells[Service];
     spec.failureDomain = cells[Domain];
     spec.address = *address;
-    return parsePositive(cells[Slots], spec.slots) && parsePositive(cells[ColdLimit], spec.coldLimit)
-            && parsePositive(cells[MaxConnections], spec.maxConnections);
+    return parsePositive(cells[Slots], spec.slots)
+           && parsePositive(cells[ColdLimit], spec.coldLimit)
+           && parsePositive(cells[MaxConnections], spec.maxConnections);
 }
 
 bool selects(const std::vector<std::string> &names, const std::string &name)
@@ -58,7 +59,7 @@
 bool TargetFilter::matches(const TargetSpec &spec) const
 {
     return selects(services, spec.service) && selects(failureDomains, spec.failureDomain)
-            && selects(ids, spec.id);
+           && selects(ids, spec.id);
 }
 
 absl::StatusOr<std::vector<TargetSpec>> readTargets(const std::string &sheetFile)
--- a/standins/target/targetstandin.cpp
+++ b/standins/target/targetstandin.cpp
@@ -93,8 +93,8 @@
         setNumber(m_faults, kFaultFields, name, value);
     if (body.contains("slowFactor")) {
         const bool isUnlimited = m_faults.slowForMs <= 0;
-        m_slowUntil = isUnlimited ? Time::max()
-                                  : steady_clock::now() + milliseconds(m_faults.slowForMs);
+        m_slowUntil =
+                isUnlimited ? Time::max() : steady_clock::now() + milliseconds(m_faults.slowForMs);
     }
     m_crashMarker = body.value("crashOnMarker", m_crashMarker);
     applyPhase(body);
@@ -108,8 +108,9 @@
         const int limit = body["cold"].get<int>();
         const double durationMs = body.value("coldForMs", m_options.coldForMs);
         m_coldLimit = limit > 0 ? limit : m_spec.coldLimit;
-        m_coldUntil = limit <= 0 ? Time() : durationMs <= 0 ? Time::max()
-                                                            : now + milliseconds(durationMs);
+        m_coldUntil = limit <= 0        ? Time()
+                      : durationMs <= 0 ? Time::max()
+                                        : now + milliseconds(durationMs);
     }
     if (body.contains("draining"))
         m_drainingSince = isFlag(body, "draining") ? now : Time::max();
@@ -166,8 +167,8 @@
     std::int64_t remainingMs = 0;
     if (parseCount(request.header("lycheebay-deadline-ms"), remainingMs))
         job.deadline = steady_clock::now()
-                + std::min<steady_clock::duration>(std::chrono::milliseconds(remainingMs),
-                                                   std::chrono::hours(1));
+                       + std::min<steady_clock::duration>(std::chrono::milliseconds(remainingMs),
+                                                          std::chrono::hours(1));
     job.request = std::move(request);
     job.isRequest = true;
     enqueue(std::move(job));
@@ -222,7 +223,8 @@
     m_runRecord.add(job.request.header("idempotency-key"), job.request.header("x-request-id"),
                     m_spec.id, m_spec.failureDomain);
     checkRules();
-    const bool isMarked = !m_crashMarker.empty()
+    const bool isMarked =
+            !m_crashMarker.empty()
             && (job.request.path + job.request.body).find(m_crashMarker) != std::string::npos;
     if (isMarked) {
         crash();
@@ -351,10 +353,9 @@
 
 HttpResponse TargetStandin::withLoad(HttpResponse response)
 {
-    response.headers.emplace_back("Lycheebay-Load",
-                                  fmt::format("inflight={};slots={};phase={};start={}",
-                                              reportedInFlight(), m_spec.slots, phaseName(),
-                                              m_start));
+    response.headers.emplace_back(
+            "Lycheebay-Load", fmt::format("inflight={};slots={};phase={};start={}",
+                                          reportedInFlight(), m_spec.slots, phaseName(), m_start));
     return response;
 }
 
@@ -379,7 +380,8 @@
     if (now - m_loadSampledAt >= milliseconds(m_faults.loadLagMs)) {
         m_loadSampledAt = now;
         const auto isRequest = [](const Job &job) { return job.isRequest; };
-        m_sampledLoad = m_runningRequests
+        m_sampledLoad =
+                m_runningRequests
                 + static_cast<int>(std::count_if(m_queue.begin(), m_queue.end(), isRequest));
     }
     return m_sampledLoad;
