--- /dev/null
+++ b/src/daemon/peersharing.cpp
@@ -0,0 +1,101 @@
+#include "daemon/peersharing.h"
+
+#include "transport/peernode.h"
+
+#include <fmt/format.h>
+
+namespace lycheebay {
+
+namespace {
+
+bool isDefault(const TargetVerdict &verdict)
+{
+    return !verdict.ejected && !verdict.cold && !verdict.draining && verdict.ejections == 0;
+}
+
+} // namespace
+
+PeerSharing::PeerSharing(const Blackboard &board, const IClock &clock)
+    : m_board(board)
+    , m_clock(clock)
+{}
+
+void PeerSharing::receiveVerdicts(const std::vector<TargetVerdict> &verdicts)
+{
+    const std::lock_guard lock(m_verdictMutex);
+    for (const TargetVerdict &verdict : verdicts) {
+        if (isDefault(verdict))
+            m_verdicts.erase(verdict.targetId);
+        else
+            m_verdicts.insert_or_assign(verdict.targetId,
+                                        ReceivedVerdict{ verdict, m_clock.now() });
+    }
+}
+
+void PeerSharing::receiveSuspects(const std::vector<SharedCrashSuspect> &suspects)
+{
+    const std::lock_guard lock(m_suspectMutex);
+    if (!m_receiver)
+        return;
+    for (const SharedCrashSuspect &it : suspects)
+        m_receiver({ it.fingerprint, it.strikes, it.expiresIn, it.homeRegions });
+}
+
+void PeerSharing::publishVerdicts(const CellVerdicts &verdicts)
+{
+    std::vector<TargetVerdict> changed = verdicts.verdicts;
+    {
+        const std::lock_guard lock(m_verdictMutex);
+        StringSet &published =
+                m_published[fmt::format("{}\n{}", verdicts.service, verdicts.region)];
+        for (const TargetVerdict &verdict : verdicts.verdicts)
+            published.erase(verdict.targetId);
+        for (const std::string &targetId : published) {
+            TargetVerdict healthy;
+            healthy.targetId = targetId;
+            changed.push_back(healthy);
+        }
+        published.clear();
+        for (const TargetVerdict &verdict : verdicts.verdicts)
+            published.insert(verdict.targetId);
+    }
+    if (m_node && !changed.empty())
+        m_node->shareVerdicts(changed);
+}
+
+std::vector<TargetVerdict> PeerSharing::latestVerdicts(std::string_view service,
+                                                       std::string_view region) const
+{
+    std::vector<TargetVerdict> result;
+    const auto configuration = m_board.configuration.read();
+    if (!configuration)
+        return result;
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_verdictMutex);
+    for (const Target *target : configuration->estate()->cellTargets(service, region)) {
+        const auto it = m_verdicts.find(target->id);
+        if (it == m_verdicts.end())
+            continue;
+        TargetVerdict verdict = it->second.verdict;
+        const Duration elapsed = now - it->second.receivedAt;
+        verdict.nextTrialIn = std::max(Duration{}, verdict.nextTrialIn - elapsed);
+        result.push_back(verdict);
+    }
+    return result;
+}
+
+void PeerSharing::shareSuspect(const SharedSuspect &suspect)
+{
+    if (m_node) {
+        m_node->shareSuspects({ SharedCrashSuspect{ suspect.fingerprint, suspect.strikes,
+                                                    suspect.remaining, suspect.homeRegions } });
+    }
+}
+
+void PeerSharing::setSuspectReceiver(SuspectReceiver receiver)
+{
+    const std::lock_guard lock(m_suspectMutex);
+    m_receiver = std::move(receiver);
+}
+
+} // namespace lycheebay
