--- a/standins/common/httpmessage.cpp
+++ b/standins/common/httpmessage.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
+constexpr std::size_t kMaxBodyBytes = 8UL * 1024 * 1024;
 
 std::string lowerCase(std::string_view text)
 {
--- a/standins/common/httpserver.cpp
+++ b/standins/common/httpserver.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxInputBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxInputBytes = 16UL * 1024 * 1024;
 
 } // namespace
 
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -114,7 +114,7 @@
             return status;
     }
     ControlServer control(context, targets, runRecord);
-    const absl::Status status = control.listen(*controlAddress);
+    absl::Status status = control.listen(*controlAddress);
     if (!status.ok())
         return status;
     LOG4CPLUS_INFO(componentLogger("target-standin"),
--- a/standins/target/targetstandin.cpp
+++ b/standins/target/targetstandin.cpp
@@ -1,6 +1,7 @@
 #include "standins/target/targetstandin.h"
 
 #include "base/hash.h"
+#include "standins/target/targetcosts.h"
 
 #include <fmt/format.h>
 
@@ -14,27 +15,12 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectionCost(1);
-constexpr std::chrono::milliseconds kProbeCost(6);
 /// Time after which a draining target must get no new work.
 constexpr std::chrono::seconds kDrainGrace(3);
 constexpr std::chrono::seconds kMaxHang(60);
 constexpr std::chrono::milliseconds kHangCheckInterval(20);
 constexpr double kColdOverloadFactor = 10;
 
-constexpr NumberField<TargetFaults> kFaultFields[] = {
-    { "shed", &TargetFaults::shed },
-    { "slowFactor", &TargetFaults::slowFactor },
-    { "slowForMs", &TargetFaults::slowForMs },
-    { "failFast", &TargetFaults::failFast },
-    { "hangShare", &TargetFaults::hangShare },
-    { "halfAnswerShare", &TargetFaults::halfAnswerShare },
-    { "lateAnswerMs", &TargetFaults::lateAnswerMs },
-    { "crashForMs", &TargetFaults::crashForMs },
-    { "loadLagMs", &TargetFaults::loadLagMs },
-    { "loadLie", &TargetFaults::loadLie },
-};
-
 steady_clock::duration milliseconds(double count)
 {
     return std::chrono::microseconds(std::llround(count * 1000));
@@ -68,29 +54,12 @@
     m_http.setConnectionHandler([this](std::size_t open) { return acceptConnection(open); });
 }
 
-std::vector<std::string> TargetStandin::invalidFields(const json &body)
-{
-    std::vector<std::string> invalid;
-    TargetFaults unused;
-    for (const auto &[name, value] : body.items()) {
-        const bool isNumber = name == "cold" || name == "coldForMs" || name == "noWorkAfterMs";
-        const bool isBoolean = name == "draining" || name == "stopped" || name == "crash";
-        if ((isNumber && value.is_number()) || (isBoolean && value.is_boolean())
-            || (name == "crashOnMarker" && value.is_string())
-            || setNumber(unused, kFaultFields, name, value))
-            continue;
-        invalid.push_back(name);
-    }
-    return invalid;
-}
-
 absl::Status TargetStandin::control(const json &body)
 {
-    const std::vector<std::string> invalid = invalidFields(body);
-    if (!invalid.empty())
-        return absl::InvalidArgumentError("unknown field or wrong type: " + invalid.front());
-    for (const auto &[name, value] : body.items())
-        setNumber(m_faults, kFaultFields, name, value);
+    const absl::Status status = checkControl(body);
+    if (!status.ok())
+        return status;
+    setFaults(body, m_faults);
     if (body.contains("slowFactor")) {
         const bool isUnlimited = m_faults.slowForMs <= 0;
         m_slowUntil =
@@ -426,34 +395,18 @@
 
 json TargetStandin::report() const
 {
-    const auto elapsed = steady_clock::now() - m_counts.since;
-    const double elapsedMs = std::chrono::duration<double, std::milli>(elapsed).count();
-    const double measuringMs = static_cast<double>(m_counts.probes * kProbeCost.count());
-    return { { "service", m_spec.service },
-             { "failureDomain", m_spec.failureDomain },
-             { "phase", phaseName() },
-             { "start", m_start },
-             { "stopped", m_isStopped },
-             { "requests", m_counts.requests },
-             { "started", m_counts.started },
-             { "notRun", m_counts.notRun },
-             { "cancelled", m_counts.cancelled },
-             { "probes", m_counts.probes },
-             { "connections", m_counts.connections },
-             { "connectionsRefused", m_counts.connectionsRefused },
-             { "crashes", m_counts.crashes },
-             { "peakInFlight", m_counts.peakInFlight },
-             { "peakInFlightCold", m_counts.peakInFlightCold },
-             { "probeShare", elapsedMs > 0 ? measuringMs / (elapsedMs * m_spec.slots) : 0 },
-             { "violations",
-               { { "coldOverload", m_counts.coldOverload },
-                 { "startAfterDraining", m_counts.startAfterDraining },
-                 { "startAfterForbidden", m_counts.startAfterForbidden } } } };
+    json report = toJson(m_counts, m_spec.slots);
+    report["service"] = m_spec.service;
+    report["failureDomain"] = m_spec.failureDomain;
+    report["phase"] = phaseName();
+    report["start"] = m_start;
+    report["stopped"] = m_isStopped;
+    return report;
 }
 
 void TargetStandin::resetReport()
 {
-    m_counts = Counts();
+    m_counts = TargetCounts();
 }
 
 } // namespace lycheebay::standins
--- a/standins/target/targetstandin.h
+++ b/standins/target/targetstandin.h
@@ -2,6 +2,8 @@
 
 #include "standins/common/controlapi.h"
 #include "standins/target/runrecord.h"
+#include "standins/target/targetcounts.h"
+#include "standins/target/targetfaults.h"
 #include "standins/target/targetspec.h"
 
 #include <chrono>
@@ -25,27 +27,6 @@
     std::uint64_t seed = 1;
 };
 
-/// Numbers that PUT /control/targets/<id> sets; 0 switches a fault off.
-struct TargetFaults
-{
-    double shed = 0;
-    double slowFactor = 0;
-    /// Time after which slowFactor ends; 0 keeps it until changed.
-    double slowForMs = 0;
-    double failFast = 0;
-    /// One in n requests hangs.
-    double hangShare = 0;
-    /// One in n responses announces more bytes than it sends.
-    double halfAnswerShare = 0;
-    double lateAnswerMs = 0;
-    /// Time for which a crashed target refuses connections.
-    double crashForMs = 2000;
-    /// Age of the load that is reported.
-    double loadLagMs = 0;
-    /// In-flight count that is reported in place of the true one, when not negative.
-    double loadLie = -1;
-};
-
 /// One target. Used only on the thread that runs the io_context.
 class TargetStandin
 {
@@ -73,25 +54,7 @@
         Duration cost{};
         bool isRequest = false;
     };
-    struct Counts
-    {
-        std::uint64_t requests = 0;
-        std::uint64_t started = 0;
-        std::uint64_t notRun = 0;
-        std::uint64_t cancelled = 0;
-        std::uint64_t probes = 0;
-        std::uint64_t connections = 0;
-        std::uint64_t connectionsRefused = 0;
-        std::uint64_t crashes = 0;
-        int peakInFlight = 0;
-        int peakInFlightCold = 0;
-        std::uint64_t coldOverload = 0;
-        std::uint64_t startAfterDraining = 0;
-        std::uint64_t startAfterForbidden = 0;
-        Time since = std::chrono::steady_clock::now();
-    };
 
-    static std::vector<std::string> invalidFields(const nlohmann::json &body);
     void applyPhase(const nlohmann::json &body);
     bool acceptConnection(std::size_t openConnections);
     void handle(const HttpConnectionPtr &connection, HttpRequest request);
@@ -125,7 +88,7 @@
     HttpServer m_http;
     TargetFaults m_faults;
     std::string m_crashMarker;
-    Counts m_counts;
+    TargetCounts m_counts;
     std::mt19937_64 m_random;
     std::deque<Job> m_queue;
     /// Slots in use, by requests and by the cost of probes and connections.
--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t kResponseGraceMs = 500;
 constexpr int kMinRetryMs = 20;
 constexpr int kMaxRetryMs = 300;
+constexpr int kMaxDoublings = 4;
 
 bool isWholeAnswer(const PlannedRequest &request, const std::string &text)
 {
@@ -79,7 +80,7 @@
         if (route.addresses.empty()) {
             auto chosen = chooseRoute(request, static_cast<std::size_t>(n));
             if (!chosen.ok()) {
-                waitBeforeRetry(kMaxRetryMs);
+                waitBeforeRetry(kMaxRetryMs, n);
                 continue;
             }
             route = std::move(*chosen);
@@ -89,7 +90,7 @@
         if (sent.attempt.outcome == Outcome::Done)
             break;
         adaptRoute(request, sent, route);
-        waitBeforeRetry(sent.retryAfterMs);
+        waitBeforeRetry(sent.retryAfterMs, n);
     }
     record.endUs = nowUs();
     return record;
@@ -207,9 +208,10 @@
     route = Route();
 }
 
-void Caller::waitBeforeRetry(int retryAfterMs) const
+void Caller::waitBeforeRetry(int retryAfterMs, int tryNumber) const
 {
-    const std::int64_t waitMs = std::clamp(retryAfterMs, kMinRetryMs, kMaxRetryMs);
+    const int backoffMs = std::min(kMaxRetryMs, kMinRetryMs << std::min(tryNumber, kMaxDoublings));
+    const std::int64_t waitMs = std::clamp(retryAfterMs, backoffMs, kMaxRetryMs);
     std::this_thread::sleep_for(
             std::chrono::milliseconds(std::max<std::int64_t>(0, std::min(waitMs, remainingMs()))));
 }
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -48,7 +48,7 @@
     Sent send(const PlannedRequest &request, const Address &address, const std::string &key);
     static void addTry(const PlannedRequest &request, const Sent &sent, RequestRecord &record);
     void adaptRoute(const PlannedRequest &request, const Sent &sent, Route &route);
-    void waitBeforeRetry(int retryAfterMs) const;
+    void waitBeforeRetry(int retryAfterMs, int tryNumber) const;
     httplib::Client &client(const Address &address);
     std::int64_t nowUs() const;
     std::int64_t remainingMs() const;
--- a/tools/relay/main.cpp
+++ b/tools/relay/main.cpp
@@ -95,15 +95,11 @@
     return false;
 }
 
-void applyCut(RelayGroup &group)
+void dropConnections(RelayGroup &group)
 {
     const auto sessions = group.sessions;
-    for (const auto &it : sessions) {
-        if (group.cut == Cut::Drop)
-            it->close();
-        else
-            it->resume();
-    }
+    for (const auto &it : sessions)
+        it->close();
 }
 
 HttpResponse control(Groups &groups, const HttpRequest &request)
@@ -131,7 +127,8 @@
             return errorResponse(400, "unknown field or wrong value: " + name);
     }
     it->second = std::move(changed);
-    applyCut(it->second);
+    if (it->second.cut == Cut::Drop)
+        dropConnections(it->second);
     return jsonResponse(toJson(it->second));
 }
 
@@ -145,7 +142,7 @@
     Groups groups;
     std::list<Link> links;
     for (const std::string &it : pairs) {
-        const absl::Status status = addLink(it, context, groups, links);
+        absl::Status status = addLink(it, context, groups, links);
         if (!status.ok())
             return status;
     }
@@ -155,7 +152,7 @@
                       [&](const HttpConnectionPtr &connection, const HttpRequest &request) {
                           connection->respond(control(groups, request));
                       });
-    const absl::Status status = server.listen(*controlAddress);
+    absl::Status status = server.listen(*controlAddress);
     if (!status.ok())
         return status;
     LOG4CPLUS_INFO(componentLogger("relay"),
