--- a/src/routing/internal/strategies.cpp
+++ b/src/routing/internal/strategies.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace lycheebay {
 
@@ -89,11 +90,31 @@
 public:
     bool isBoundedBySlots() const override { return true; }
 
-    std::size_t choose(std::span<const Candidate> candidates, IRandomSource &) override
+    std::size_t choose(std::span<const Candidate> candidates, IRandomSource &random) override
     {
-        const auto it = std::ranges::min_element(candidates, std::less<>{}, &Candidate::latency);
-        return static_cast<std::size_t>(it - candidates.begin());
+        const auto fastest =
+                std::ranges::min_element(candidates, std::less<>{}, &Candidate::latency);
+        const double longest = fastest->latency * kSimilarLatency;
+        std::size_t chosen = 0;
+        int least = std::numeric_limits<int>::max();
+        std::uint64_t equal = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const int outstanding = candidates[i].target->outstanding();
+            if (candidates[i].latency > longest || outstanding > least)
+                continue;
+            if (outstanding < least)
+                equal = 0;
+            least = outstanding;
+            if (random.below(++equal) == 0)
+                chosen = i;
+        }
+        return chosen;
     }
+
+private:
+    // Estimates that differ less are noise; always using the lowest one would leave the state of
+    // the other targets unknown at low load.
+    static constexpr double kSimilarLatency = 1.5;
 };
 
 } // namespace
