Use slow slots when the queue is long and shrink only far slower targets

Cause: at 95% load slot-queue waited 154 ms at the median; slots of slowed targets stayed idle although the queue grew, and each slowdown of five times started a new ramp. Change: a slot counts as worth using by the estimated wait of the whole queue too; a target is shrunk to its cold limit at six times the cell's latency, not four.

--- a/src/routing/internal/cellplacement.cpp
+++ b/src/routing/internal/cellplacement.cpp
@@ -162,8 +162,11 @@
     while (!m_queue.empty() && !heap.empty()) {
         TargetState &target = *heap.front().target;
         RequestState *request = queuedFor(target);
+        // A long queue makes a slow slot worth its time, before the first request waited long.
+        const Duration queueDelay =
+                request ? now - request->queuedAt + m_selector.waitAt(m_queue.size()) : Duration{};
         const bool wanted =
-                request && m_selector.isAcceptable(heap.front().latency, now - request->queuedAt);
+                request && m_selector.isAcceptable(heap.front().latency, queueDelay);
         if (wanted) {
             m_queue.remove(request);
             m_queue.recordStart(*request);
--- a/src/routing/internal/outcomerecorder.cpp
+++ b/src/routing/internal/outcomerecorder.cpp
@@ -12,7 +12,8 @@
 constexpr double kShedPenalty = 2;
 // Distinguishes a target that hangs from a deadline that was too short.
 constexpr int kHangFactor = 3;
-constexpr double kShrinkFactor = 4;
+// Beyond the slowdown by a noisy neighbour, which passes without a new ramp.
+constexpr double kShrinkFactor = 6;
 // Requests that may serve as trials can be rare; a probe then decides about the re-admission.
 constexpr Duration kTrialOverdue = std::chrono::seconds(5);
 
