--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,7 @@
     Duration pollPeriod{};
     Duration platformTimeout{};
     Duration leaveTimeout{};
+    Duration logRetention{};
     DispatcherSettings dispatcher;
     bool serveWhenUnattested = false;
     bool fatalInvariants = false;
