--- a/src/entry/entrycounters.h
+++ b/src/entry/entrycounters.h
@@ -10,7 +10,7 @@
 namespace lycheebay {
 
 /// Counts durations in buckets whose upper bounds grow by half. Thread-safe.
-class LatencyHistogram
+class DurationHistogram
 {
 public:
     static constexpr std::size_t kBuckets = 32;
@@ -71,7 +71,7 @@
     Count spillsOverBudget{ 0 };
     Count callersGone{ 0 };
     /// Total time minus the time spent waiting for a target or another entry.
-    LatencyHistogram added;
+    DurationHistogram added;
 };
 
 } // namespace lycheebay
--- a/src/entry/internal/localrunner.cpp
+++ b/src/entry/internal/localrunner.cpp
@@ -276,7 +276,7 @@
         }
         runHedge(job, *race);
     });
-    const TargetAnswer answer = send(job, assignment, &race->primary);
+    TargetAnswer answer = send(job, assignment, &race->primary);
     if (isWhole(answer))
         race->hedge.cancel();
     race->close();
@@ -315,7 +315,7 @@
     ++m_counters.attempts;
     const RequestContext &context = job.context;
     const TimePoint began = m_clock.now();
-    const TargetAnswer answer =
+    TargetAnswer answer =
             m_client.exchange(assignment.address, messageFor(context, began), context.deadline,
                               cancellation, [this](TimePoint now) { return m_lease.isValid(now); });
     job.cell->complete(assignment.attempt, answer.result);
--- /dev/null
+++ b/src/entry/tests/requesthandlertest.cpp
@@ -0,0 +1,431 @@
+#include "entry/requesthandler.h"
+#include "base/systemclock.h"
+#include "transport/loadheader.h"
+#include "transport/tests/rawpeer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheebay {
+
+using namespace std::chrono_literals;
+
+// Sets a private member without a log to replay; explicit instantiation ignores access.
+template <auto Member>
+struct EstateAccess
+{
+    friend void setEstate(ConfigurationState &state, EstateData data)
+    {
+        state.*Member = makeRef<const Estate>(std::move(data));
+    }
+};
+template struct EstateAccess<&ConfigurationState::m_estate>;
+void setEstate(ConfigurationState &state, EstateData data);
+
+namespace {
+
+constexpr std::uint64_t kSelf = 7;
+constexpr std::uint64_t kOther = 8;
+
+class FakeLease final : public IConfigurationLease
+{
+public:
+    bool isValid(TimePoint) const override { return valid; }
+
+    std::atomic<bool> valid{ true };
+};
+
+class FakeSharing final : public IPeerSharing
+{
+public:
+    void publishVerdicts(const CellVerdicts &) override {}
+    std::vector<TargetVerdict> latestVerdicts(std::string_view, std::string_view) const override
+    {
+        return {};
+    }
+    void shareSuspect(const SharedSuspect &suspect) override { shared.push_back(suspect); }
+    void setSuspectReceiver(SuspectReceiver newReceiver) override { receiver = newReceiver; }
+
+    std::vector<SharedSuspect> shared;
+    SuspectReceiver receiver;
+};
+
+class PresentCaller final : public ICaller
+{
+public:
+    bool isGone() const override { return false; }
+};
+
+std::string reply(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\nLycheebay-Load: inflight=0;slots=3;phase=warm;start=1\r\n\r\n" + body;
+}
+
+} // namespace
+
+class RequestHandlerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestHandlerTest);
+    CPPUNIT_TEST(lookupReachesItsTarget);
+    CPPUNIT_TEST(orderRunsOnceAndIsReplayed);
+    CPPUNIT_TEST(lostOrderIsNeverSentAgain);
+    CPPUNIT_TEST(refusedConnectionIsTriedElsewhere);
+    CPPUNIT_TEST(nothingIsSentWithoutALease);
+    CPPUNIT_TEST(noSpellingLeavesTheHomeRegions);
+    CPPUNIT_TEST(badInputIsNotRun);
+    CPPUNIT_TEST(dispatcherIsAskedOnceThenServedHere);
+    CPPUNIT_TEST(forwardedRefusalIsTrusted);
+    CPPUNIT_TEST(lostForwardIsNeverCalledNotRun);
+    CPPUNIT_TEST(otherRegionGetsOnlyWhatMayLeave);
+    CPPUNIT_TEST(crashingRequestIsStopped);
+    CPPUNIT_TEST(ticketNamesTheFirstAddress);
+    CPPUNIT_TEST(slowLookupIsHedgedAndOrdersAreNot);
+    CPPUNIT_TEST(waitingRequestsAllGetTheirOwnResponse);
+    CPPUNIT_TEST_SUITE_END();
+
+    void addTarget(const Address &address)
+    {
+        const std::string id = "t" + std::to_string(m_estate.targets.size());
+        m_estate.targets.push_back({ id, "s", "d", address, 3, 3, 250, false });
+    }
+    void addMember(const std::string &id, std::uint64_t incarnation, const std::string &region,
+                   const Address &http)
+    {
+        m_members.push_back({ { id, incarnation, region, "d", http, {}, 1 }, false });
+    }
+    // Starts the request path. Another member takes a cell whose hash favours it.
+    void start()
+    {
+        auto state = makeRef<ConfigurationState>();
+        setEstate(*state, m_estate);
+        m_board.configuration.publish(state);
+        m_board.plan.publish(makeRef<const CellPlan>(m_members));
+        m_cells =
+                std::make_unique<CellDirectory>(m_board, m_settings, m_clock, m_sharing, m_client);
+        m_cells->refresh();
+        m_handler = std::make_unique<RequestHandler>(m_settings, m_clock, m_board, m_lease,
+                                                     m_client, *m_cells, m_sharing);
+    }
+    HttpResponse send(const std::string &method, const std::string &target,
+                      HttpHeaders headers = {}, const std::string &body = {})
+    {
+        return m_handler->handle({ method, target, std::move(headers), body }, m_caller);
+    }
+    std::string newKey()
+    {
+        const HttpResponse answer = send("GET", "/v1/addresses?service=s");
+        return nlohmann::json::parse(answer.body).at("ticket").get<std::string>() + "~a";
+    }
+    HttpResponse order(const std::string &key, const std::string &body = "order")
+    {
+        return send("POST", "/services/s/orders", { { kKeyHeader, key } }, body);
+    }
+    static std::string outcomeOf(const HttpResponse &response)
+    {
+        const std::string *outcome = findHeader(response.headers, kOutcomeHeader);
+        return outcome ? *outcome : "done";
+    }
+    // An address at which nothing listens.
+    static Address closedAddress() { return RawServer(std::vector<std::string>{}).address(); }
+
+    SystemClock m_clock;
+    FakeLease m_lease;
+    FakeSharing m_sharing;
+    PresentCaller m_caller;
+    Blackboard m_board;
+    TargetClient m_client{ {} };
+    EstateData m_estate;
+    std::vector<Member> m_members;
+    EntrySettings m_settings;
+    std::unique_ptr<CellDirectory> m_cells;
+    std::unique_ptr<RequestHandler> m_handler;
+
+public:
+    void setUp() override
+    {
+        m_estate.regions = { "r", "q" };
+        m_estate.failureDomains = { { "d", "r" }, { "e", "q" } };
+        m_estate.services = { "s" };
+        m_estate.routes = { { "s", "*", "/", true, 1, {} },
+                            { "s", "POST", "/orders", false, 2, {} },
+                            { "s", "*", "/local", true, 1, { "r" } },
+                            { "s", "*", "/abroad", true, 1, { "q" } } };
+        m_estate.tenants = { { "abroad", { "q" } } };
+        m_settings.self = { "self", kSelf, "r", "d" };
+        m_settings.handoverWait = 0ns;
+        addMember("self", kSelf, "r", { "127.0.0.1", 1 });
+    }
+
+    // Guards against a lost path, query or header between caller and target.
+    void lookupReachesItsTarget()
+    {
+        const RawServer target({ reply("hello") });
+        addTarget(target.address());
+        start();
+        const HttpResponse response = send("GET", "/services/s/a?b=c", { { "X-Y", "z" } });
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), response.body);
+        CPPUNIT_ASSERT(target.lastRequest().starts_with("GET /a?b=c HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(target.lastRequest().find("X-Y: z\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(target.lastRequest().find(kDeadlineHeader) != std::string::npos);
+        CPPUNIT_ASSERT(m_handler->idle());
+    }
+
+    // Guards against a second run of an order, and against a response to another body.
+    void orderRunsOnceAndIsReplayed()
+    {
+        const RawServer target({ reply("first"), reply("second") });
+        addTarget(target.address());
+        start();
+        const std::string key = newKey();
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), order(key).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), order(key).body);
+        CPPUNIT_ASSERT_EQUAL(422, order(key, "other").status);
+        CPPUNIT_ASSERT_EQUAL(1, target.requests());
+        CPPUNIT_ASSERT(!m_handler->idle());
+    }
+
+    // Guards against a duplicated order after a lost answer.
+    void lostOrderIsNeverSentAgain()
+    {
+        const RawServer first({ "", "" });
+        const RawServer second({ "", "" });
+        addTarget(first.address());
+        addTarget(second.address());
+        start();
+        const std::string key = newKey();
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(order(key)));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(order(key)));
+        CPPUNIT_ASSERT_EQUAL(1, first.requests() + second.requests());
+    }
+
+    // Guards against a lost order when another target could take it.
+    void refusedConnectionIsTriedElsewhere()
+    {
+        const RawServer target({ reply("done"), reply("done") });
+        addTarget(closedAddress());
+        addTarget(target.address());
+        m_settings.dispatcher.strategy = StrategyKind::RoundRobin;
+        m_settings.dispatcher.retryShare = 1;
+        start();
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), order(newKey()).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), order(newKey()).body);
+        CPPUNIT_ASSERT_EQUAL(2, target.requests());
+    }
+
+    // Guards against work given on a configuration that may have changed.
+    void nothingIsSentWithoutALease()
+    {
+        const RawServer target({ reply("a") });
+        addTarget(target.address());
+        start();
+        const std::string key = newKey();
+        m_lease.valid = false;
+        CPPUNIT_ASSERT_EQUAL(503, order(key).status);
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(send("GET", "/services/s/a")));
+        m_lease.valid = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), order(key).body);
+        CPPUNIT_ASSERT_EQUAL(1, target.requests());
+    }
+
+    // Guards against a request that is served outside its home regions.
+    void noSpellingLeavesTheHomeRegions()
+    {
+        const RawServer target(std::vector<std::string>{});
+        addTarget(target.address());
+        start();
+        for (const char *path : { "/abroad", "/abroad/x?y", "/%61broad", "/abroa%64/x" })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 421,
+                                         send("GET", std::string("/services/s") + path).status);
+        for (const char *path : { "/x/../abroad", "/x/%2e%2e/abroad", "//abroad", "/x%2f..", "/%",
+                                  "/%zz", "/a%00b", "/x\\abroad" })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 400,
+                                         send("GET", std::string("/services/s") + path).status);
+        const HttpHeaders tenant{ { kTenantHeader, "abroad" } };
+        CPPUNIT_ASSERT_EQUAL(421, send("GET", "/services/s/a", tenant).status);
+        CPPUNIT_ASSERT_EQUAL(421, send("GET", "/services/s/local", tenant).status);
+        CPPUNIT_ASSERT_EQUAL(0, target.requests());
+    }
+
+    // Guards against bad input that reaches a target or an unclear answer.
+    void badInputIsNotRun()
+    {
+        start();
+        struct Case
+        {
+            int status;
+            std::string method;
+            std::string target;
+            HttpHeader header;
+        };
+        const std::string foreign = formatTicket({ kOther, m_clock.now(), 1 }) + "~a";
+        const std::vector<Case> cases{
+            { 404, "GET", "/other", {} },
+            { 404, "GET", "/services/none/a", {} },
+            { 404, "GET", "/v1/addresses?service=none", {} },
+            { 403, "GET", "/services/s/a", { kTenantHeader, "none" } },
+            { 400, "GET", "/services/s/a", { kDeadlineHeader, "0" } },
+            { 400, "GET", "/services/s/a", { kDeadlineHeader, "30001" } },
+            { 400, "GET", "/services/s/a", { kDeadlineHeader, "1s" } },
+            { 400, "GET", "/services/s/a", { kDeadlineHeader, "" } },
+            { 428, "POST", "/services/s/orders", {} },
+            { 400, "POST", "/services/s/orders", { kKeyHeader, "x" } },
+            { 503, "GET", "/services/s/a", {} },
+        };
+        for (const Case &it : cases) {
+            const HttpResponse response = send(it.method, it.target, { it.header });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.target + it.header.value, it.status, response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(response));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(order(foreign)));
+    }
+
+    // Guards against a cell that two entries dispatch, and against a dead end when one is gone.
+    void dispatcherIsAskedOnceThenServedHere()
+    {
+        const RawServer target({ reply("here"), reply("here") });
+        addTarget(target.address());
+        auto dispatcher = std::make_unique<RawServer>(std::vector{ reply("there") });
+        m_members.front().leaving = true;
+        addMember("other", kOther, "r", dispatcher->address());
+        start();
+        CPPUNIT_ASSERT_EQUAL(std::string("there"), send("GET", "/services/s/a").body);
+        const std::string sent = dispatcher->lastRequest();
+        CPPUNIT_ASSERT(sent.starts_with("GET /services/s/a HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(sent.find("Lycheebay-Forwarded: 0000000000000007") != std::string::npos);
+        const HttpHeaders forwarded{ { kForwardedHeader, "0000000000000008" } };
+        CPPUNIT_ASSERT_EQUAL(1, dispatcher->requests());
+        dispatcher.reset();
+        // Without a verdict on the target, the fallback role waits for a dispatcher.
+        const HttpResponse response = send("GET", "/services/s/a", { { kDeadlineHeader, "100" } });
+        CPPUNIT_ASSERT(response.body == "here" || outcomeOf(response) == "not-run");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_handler->counters().fallbacks.load());
+        send("GET", "/services/s/a", { forwarded.front(), { kDeadlineHeader, "100" } });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_handler->counters().forwarded.load());
+    }
+
+    // Guards against a refusal of the dispatcher that is taken for a response.
+    void forwardedRefusalIsTrusted()
+    {
+        const std::string refusal =
+                "HTTP/1.1 503 x\r\nContent-Length: 40\r\nLycheebay-Outcome: "
+                "not-run\r\n\r\n{\"reason\":\"overloaded\",\"retryAfterMs\":1500}";
+        const RawServer dispatcher({ refusal });
+        m_members.front().leaving = true;
+        addMember("other", kOther, "r", dispatcher.address());
+        start();
+        const HttpResponse response = send("GET", "/services/s/a");
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(response));
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+    }
+
+    // Guards against "not run" for a request that the dispatcher may have given to a target.
+    void lostForwardIsNeverCalledNotRun()
+    {
+        const RawServer dispatcher({ "" });
+        m_members.front().leaving = true;
+        addMember("other", kOther, "r", dispatcher.address());
+        start();
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(send("GET", "/services/s/a")));
+    }
+
+    // Guards against a request that leaves its home regions, or the link's byte budget.
+    void otherRegionGetsOnlyWhatMayLeave()
+    {
+        const RawServer abroad({ reply("abroad") });
+        m_estate.targets.push_back({ "far", "s", "e", { "127.0.0.1", 1 }, 3, 3, 250, false });
+        addMember("far", kOther, "q", abroad.address());
+        m_settings.spillBytesPerSecond = 5000;
+        start();
+        CPPUNIT_ASSERT_EQUAL(503, send("GET", "/services/s/local").status);
+        CPPUNIT_ASSERT_EQUAL(std::string("abroad"), send("GET", "/services/s/a").body);
+        const std::string large(6000, 'x');
+        CPPUNIT_ASSERT_EQUAL(503, send("PUT", "/services/s/a", {}, large).status);
+        CPPUNIT_ASSERT_EQUAL(1, abroad.requests());
+    }
+
+    // Guards against one request that crashes every target.
+    void crashingRequestIsStopped()
+    {
+        const RawServer target({ "", "", "", "" });
+        addTarget(target.address());
+        start();
+        for (int i = 0; i < 5; ++i)
+            send("GET", "/services/s/a", { { kDeadlineHeader, "200" } });
+        CPPUNIT_ASSERT_EQUAL(2, target.requests());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_sharing.shared.size());
+        m_sharing.receiver({ 1, 2, 1min, {} });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_handler->suspectCount());
+    }
+
+    // Guards against tickets that name another entry than the one the caller uses.
+    void ticketNamesTheFirstAddress()
+    {
+        addTarget({ "127.0.0.1", 1 });
+        addMember("other", kOther, "r", closedAddress());
+        start();
+        const auto answer = nlohmann::json::parse(send("GET", "/v1/addresses?service=s").body);
+        CPPUNIT_ASSERT_EQUAL(1, answer.at("addresses").at(0).at("port").get<int>());
+        const auto ticket = parseTicket(answer.at("ticket").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(kSelf, ticket->incarnation);
+        m_handler->beginLeaving();
+        const auto leaving = nlohmann::json::parse(send("GET", "/v1/addresses?service=s").body);
+        CPPUNIT_ASSERT(!leaving.contains("ticket"));
+        CPPUNIT_ASSERT(leaving.dump().find("\"port\":1}") == std::string::npos);
+        CPPUNIT_ASSERT(!m_handler->idle());
+    }
+
+    // Guards against a tail latency of one slow target, and against a second run of an order.
+    void slowLookupIsHedgedAndOrdersAreNot()
+    {
+        std::atomic<int> slow = 0;
+        const auto script = [&](std::size_t, const std::string &request) -> std::string {
+            if (request.find("/slow") == std::string::npos && !request.starts_with("POST"))
+                return reply("quick");
+            return ++slow % 2 == 1 ? "wait" : reply("second");
+        };
+        const RawServer first(script);
+        const RawServer second(script);
+        addTarget(first.address());
+        addTarget(second.address());
+        // Warms both targets up; a hedge never goes to a cold one.
+        m_settings.dispatcher.strategy = StrategyKind::RoundRobin;
+        start();
+        for (int i = 0; i < 100; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("quick"), send("GET", "/services/s/a").body);
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), send("GET", "/services/s/slow").body);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_handler->counters().hedgesWon.load());
+        const HttpResponse lost = send("POST", "/services/s/orders",
+                                       { { kKeyHeader, newKey() }, { kDeadlineHeader, "300" } });
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(lost));
+        CPPUNIT_ASSERT_EQUAL(3, slow.load());
+    }
+
+    // Guards against crossed responses and lost wake-ups among requests that queue.
+    void waitingRequestsAllGetTheirOwnResponse()
+    {
+        const RawServer target([](std::size_t, const std::string &request) {
+            return reply(request.substr(0, request.find(" HTTP")));
+        });
+        addTarget(target.address());
+        start();
+        std::atomic<int> right = 0;
+        std::vector<std::thread> callers;
+        for (int c = 0; c < 16; ++c) {
+            callers.emplace_back([&, c] {
+                for (int i = 0; i < 50; ++i) {
+                    const std::string path = "/" + std::to_string(c) + "." + std::to_string(i);
+                    if (send("GET", "/services/s" + path).body == "GET " + path)
+                        ++right;
+                }
+            });
+        }
+        for (std::thread &caller : callers)
+            caller.join();
+        CPPUNIT_ASSERT_EQUAL(16 * 50, right.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestHandlerTest);
+
+} // namespace lycheebay
--- a/src/transport/tests/rawpeer.cpp
+++ b/src/transport/tests/rawpeer.cpp
@@ -45,7 +45,13 @@
 }
 
 RawServer::RawServer(std::vector<std::string> replies)
-    : m_replies(std::move(replies))
+    : RawServer([replies = std::move(replies)](std::size_t index, const std::string &) {
+        return index < replies.size() ? replies[index] : std::string();
+    })
+{}
+
+RawServer::RawServer(Script script)
+    : m_script(std::move(script))
     , m_listener(socket(AF_INET, SOCK_STREAM, 0))
 {
     sockaddr_in address = loopback(0);
@@ -108,7 +114,7 @@
         return true;
     m_lastRequest = bytes;
     const auto index = static_cast<std::size_t>(m_requests++);
-    const std::string reply = index < m_replies.size() ? m_replies[index] : std::string();
+    const std::string reply = m_script(index, bytes);
     if (reply == "wait")
         return true;
     ::send(socket, reply.data(), reply.size(), MSG_NOSIGNAL);
--- a/src/transport/tests/rawpeer.h
+++ b/src/transport/tests/rawpeer.h
@@ -14,12 +14,15 @@
 /// Evaluates \a condition until it is true or ten seconds have passed.
 bool eventually(const std::function<bool()> &condition);
 
-/// A server that answers each request head on its port with the next of the given byte strings,
-/// whatever they are. An empty one closes the connection without an answer, "wait" leaves the
-/// request without one.
+/// A server that answers each request head on its port with whatever bytes its script gives. Empty
+/// bytes close the connection without an answer, "wait" leaves the request without one.
 class RawServer
 {
 public:
+    using Script = std::function<std::string(std::size_t index, const std::string &request)>;
+
+    explicit RawServer(Script script);
+    /// Gives the replies in turn, and empty ones after the last.
     explicit RawServer(std::vector<std::string> replies);
     ~RawServer();
 
@@ -34,7 +37,7 @@
     void run();
     bool serve(int socket);
 
-    const std::vector<std::string> m_replies;
+    const Script m_script;
     Address m_address;
     int m_listener = -1;
     std::atomic<bool> m_stopping{ false };
