--- a/src/routing/internal/outcomerecorder.cpp
+++ b/src/routing/internal/outcomerecorder.cpp
@@ -47,8 +47,6 @@
     TargetState &target = *attempt.target;
     target.latency().add(toSeconds(result.latency), now);
     target.ejection().recordSuccess(now);
-    if (result.latency <= m_latencies.median() || !m_latencies.isMeaningful())
-        target.clearSuspicion(attempt.startedAt);
     if (attempt.trial && target.ejection().isEjected())
         TargetTable::readmit(target, now);
     else if (!target.ejection().isEjected())
--- a/src/routing/internal/targetselector.cpp
+++ b/src/routing/internal/targetselector.cpp
@@ -1,7 +1,6 @@
 #include "routing/internal/targetselector.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace lycheebay {
 
@@ -25,10 +24,7 @@
 void TargetSelector::refresh(const RoleRules &rules, bool boundedBySlots, double prior,
                              TimePoint now)
 {
-    const double previousReference = referenceLatency();
     m_candidates.clear();
-    m_suspicious = previousReference > 0 ? kAvoidFactor * previousReference
-                                         : std::numeric_limits<double>::infinity();
     m_trial = nullptr;
     m_inService = 0;
     m_waitingForCold = 0;
@@ -60,10 +56,8 @@
     ++m_inService;
     m_inverseSum += 1 / latency;
     m_rate += std::max(1, target.usableLimit(now)) / latency;
-    if (latency > m_suspicious)
-        target.suspect(latency, now);
     if (hasRoom(target, rules, boundedBySlots, now))
-        m_candidates.push_back({ &target, position, target.secondsForNext(latency) });
+        m_candidates.push_back({ &target, position, latency });
 }
 
 bool TargetSelector::hasUntried(const RequestState &request) const
--- a/src/routing/internal/targetselector.h
+++ b/src/routing/internal/targetselector.h
@@ -62,8 +62,6 @@
     std::size_t m_waitingForCold = 0;
     double m_inverseSum = 0;
     double m_rate = 0;
-    /// Estimate from which a target becomes suspect, by the previous refresh.
-    double m_suspicious = 0;
 };
 
 } // namespace lycheebay
--- a/src/routing/internal/targetstate.cpp
+++ b/src/routing/internal/targetstate.cpp
@@ -138,23 +138,6 @@
     m_foreign.report(report.inFlight, recentOutstanding(now), now);
 }
 
-void TargetState::suspect(double seconds, TimePoint now)
-{
-    m_suspectSeconds = seconds;
-    m_suspectedAt = now;
-}
-
-void TargetState::clearSuspicion(TimePoint startedAt)
-{
-    if (startedAt > m_suspectedAt)
-        m_suspectSeconds = 0;
-}
-
-double TargetState::secondsForNext(double estimate) const
-{
-    return m_outstanding > 0 ? std::max(estimate, m_suspectSeconds) : estimate;
-}
-
 void TargetState::adoptDraining(TimePoint now)
 {
     m_draining = true;
--- a/src/routing/internal/targetstate.h
+++ b/src/routing/internal/targetstate.h
@@ -71,14 +71,6 @@
     {
         return m_latency.seconds(prior, runningAges(now), now);
     }
-    /// Remembers that the target looked slow; \a seconds is its estimate.
-    void suspect(double seconds, TimePoint now);
-    /// Ends the suspicion if a normal response belongs to an attempt that started after it.
-    void clearSuspicion(TimePoint startedAt);
-    /// Estimate for one more attempt: a suspect target with an attempt in flight counts as slow
-    /// until that attempt shows otherwise.
-    double secondsForNext(double estimate) const;
-
     Ejection &ejection() { return m_ejection; }
     const Ejection &ejection() const { return m_ejection; }
     ProbePlanner &probes() { return m_probes; }
@@ -108,8 +100,6 @@
     TimePoint m_lastResponse;
     TimePoint m_lastOutcome;
     LatencyEstimate m_latency;
-    double m_suspectSeconds = 0;
-    TimePoint m_suspectedAt;
     Ejection m_ejection;
     ProbePlanner m_probes;
 };
