--- a/src/routing/internal/admissionqueue.h
+++ b/src/routing/internal/admissionqueue.h
@@ -19,7 +19,6 @@
     RequestTraits traits;
     TimePoint queuedAt;
     int inFlight = 0;
-    AttemptId lastAttempt = 0;
     bool queued = false;
     /// Ordinals of the targets that had an attempt of it.
     std::vector<std::uint32_t> tried;
--- a/src/routing/internal/cellcore.cpp
+++ b/src/routing/internal/cellcore.cpp
@@ -85,9 +85,7 @@
         return std::nullopt;
     refresh(now);
     TargetState *target = chooseFor(state);
-    if (!target || target->isCold() || !isHedgeUseful(state, *target, now))
-        return std::nullopt;
-    if (!m_hedgeBudget.tryTake())
+    if (!target || target->isCold() || !m_hedgeBudget.tryTake())
         return std::nullopt;
     return assign(state, *target, false, now);
 }
--- a/src/routing/internal/cellcore.h
+++ b/src/routing/internal/cellcore.h
@@ -54,7 +54,6 @@
     void shedQueued(RequestState &request, ShedReason reason, TimePoint now);
     void shedLateLights(TimePoint now);
 
-    bool isHedgeUseful(const RequestState &request, const TargetState &second, TimePoint now) const;
     bool canFinish(const RequestTraits &traits, TimePoint now) const;
     bool maySpareTrial(const RequestState &request) const;
     Duration waitLimit(const RequestTraits &traits, TimePoint now) const;
--- a/src/routing/internal/cellplacement.cpp
+++ b/src/routing/internal/cellplacement.cpp
@@ -14,11 +14,6 @@
 // Bounds the work of one call; the next one goes on.
 constexpr int kLightsShedPerCall = 4;
 
-// A first target that is this much slower than the second one explains the delay.
-constexpr double kHedgeAdvantage = 1.25;
-// Without such evidence the request itself may be long; then a hedge needs free capacity.
-constexpr std::size_t kTargetsPerFreeOne = 4;
-
 bool isSlower(const Candidate &a, const Candidate &b)
 {
     return a.latency > b.latency;
@@ -109,7 +104,6 @@
     request.tried.push_back(target.ordinal());
     ++request.inFlight;
     const AttemptId id = m_nextAttempt++;
-    request.lastAttempt = id;
     m_attempts[id] = { request.id, &target, now, trial };
     return { request.id, id, target.spec().id, target.spec().address };
 }
@@ -171,7 +165,8 @@
         // A long queue makes a slow slot worth its time, before the first request waited long.
         const Duration queueDelay =
                 request ? now - request->queuedAt + m_selector.waitAt(m_queue.size()) : Duration{};
-        const bool wanted = request && m_selector.isAcceptable(heap.front().latency, queueDelay);
+        const bool wanted =
+                request && m_selector.isAcceptable(heap.front().latency, queueDelay);
         if (wanted) {
             m_queue.remove(request);
             m_queue.recordStart(*request);
@@ -217,20 +212,6 @@
     }
 }
 
-bool CellCore::isHedgeUseful(const RequestState &request, const TargetState &second,
-                             TimePoint now) const
-{
-    const auto it = m_attempts.find(request.lastAttempt);
-    if (it == m_attempts.end())
-        return false;
-    const double prior = latencies().mean();
-    const double first = it->second.target->estimatedSeconds(prior, now);
-    if (first > kHedgeAdvantage * second.estimatedSeconds(prior, now))
-        return true;
-    const std::size_t free = m_selector.candidates().size();
-    return free * kTargetsPerFreeOne >= m_selector.inServiceCount();
-}
-
 bool CellCore::canFinish(const RequestTraits &traits, TimePoint now) const
 {
     if (traits.deadline <= now)
--- a/src/routing/internal/targetselector.h
+++ b/src/routing/internal/targetselector.h
@@ -28,7 +28,6 @@
 
     /// Targets with room, in list order.
     std::vector<Candidate> &candidates() { return m_candidates; }
-    const std::vector<Candidate> &candidates() const { return m_candidates; }
     /// An ejected target whose trial is due, or null.
     TargetState *trial() const { return m_trial; }
     /// Targets in service, with or without room.
