--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,13 +8,13 @@
   ESTATE=$2
   SEED=$3
   SHEET=${SHEET:-examples/$ESTATE.csv}
+  require_files "$SHEET" "$BIN"/lycheebay{d,ctl,-load,-platform-standin,-target-standin}
   WORK_DIR=$(mktemp -d "${TMPDIR:-/tmp}/lycheebay-$ESTATE.XXXXXX")
   PIDS=()
   ENTRIES=()
   ENTRY_PIDS=()
   trap stop_all EXIT
   trap 'exit 130' INT TERM
-  require_files "$SHEET" "$BIN"/lycheebay{d,ctl,-load,-platform-standin,-target-standin}
 
   # Each estate uses the loopback network of its targets, so that two estates run side by side.
   local network
--- a/standins/target/targetstandin.cpp
+++ b/standins/target/targetstandin.cpp
@@ -56,7 +56,7 @@
 
 absl::Status TargetStandin::control(const json &body)
 {
-    const absl::Status status = checkControl(body);
+    absl::Status status = checkControl(body);
     if (!status.ok())
         return status;
     setFaults(body, m_faults);
--- a/tools/relay/main.cpp
+++ b/tools/relay/main.cpp
@@ -95,11 +95,15 @@
     return false;
 }
 
-void dropConnections(RelayGroup &group)
+void applyCut(RelayGroup &group)
 {
     const auto sessions = group.sessions;
-    for (const auto &it : sessions)
-        it->close();
+    for (const auto &it : sessions) {
+        if (group.cut == Cut::Drop)
+            it->close();
+        else
+            it->resume();
+    }
 }
 
 HttpResponse control(Groups &groups, const HttpRequest &request)
@@ -127,8 +131,7 @@
             return errorResponse(400, "unknown field or wrong value: " + name);
     }
     it->second = std::move(changed);
-    if (it->second.cut == Cut::Drop)
-        dropConnections(it->second);
+    applyCut(it->second);
     return jsonResponse(toJson(it->second));
 }
 
--- a/tools/relay/relaysession.cpp
+++ b/tools/relay/relaysession.cpp
@@ -8,9 +8,6 @@
 
 /// Bytes on the way in one direction before the relay stops reading, as a socket buffer would.
 constexpr std::size_t kMaxQueuedBytes = 1024UL * 1024;
-constexpr std::size_t kReadBytes = 16384;
-/// How often a stalled or full link is looked at again.
-constexpr std::chrono::milliseconds kRecheckInterval(5);
 
 steady_clock::duration seconds(double count)
 {
@@ -23,24 +20,21 @@
     : m_group(group)
     , m_client(std::move(client))
     , m_target(m_client.get_executor())
-    , m_pumps{ Pump{ m_client, m_target, asio::steady_timer(m_client.get_executor()) },
-               Pump{ m_target, m_client, asio::steady_timer(m_client.get_executor()) } }
+    , m_pumps{ Pump(m_client, m_target), Pump(m_target, m_client) }
 {}
 
 void RelaySession::start(const asio::ip::tcp::endpoint &target)
 {
-    spawn(connect(target));
-}
-
-void RelaySession::spawn(asio::awaitable<void> task)
-{
-    auto onEnd = [self = shared_from_this()](std::exception_ptr error) {
-        const bool isFinished =
-                self->m_pumps[Forward].isFinished && self->m_pumps[Backward].isFinished;
-        if (error || isFinished)
+    m_target.async_connect(target, [self = shared_from_this()](asio::error_code ec) {
+        if (ec || !self->m_isOpen) {
             self->close();
-    };
-    asio::co_spawn(m_client.get_executor(), std::move(task), std::move(onEnd));
+            return;
+        }
+        self->m_client.set_option(asio::ip::tcp::no_delay(true), ec);
+        self->m_target.set_option(asio::ip::tcp::no_delay(true), ec);
+        self->read(Forward);
+        self->read(Backward);
+    });
 }
 
 void RelaySession::close()
@@ -50,83 +44,97 @@
     m_client.close(ec);
     m_target.close(ec);
     for (Pump &it : m_pumps)
-        it.wakeUp.cancel();
+        it.timer.cancel();
     m_group.sessions.erase(shared_from_this());
 }
 
-asio::awaitable<void> RelaySession::connect(asio::ip::tcp::endpoint target)
+void RelaySession::resume()
 {
-    co_await m_target.async_connect(target, asio::use_awaitable);
-    m_client.set_option(asio::ip::tcp::no_delay(true));
-    m_target.set_option(asio::ip::tcp::no_delay(true));
-    for (const Direction it : { Forward, Backward }) {
-        spawn(read(it));
-        spawn(write(it));
-    }
+    write(Forward);
+    write(Backward);
 }
 
-asio::awaitable<void> RelaySession::read(Direction direction)
+void RelaySession::read(Direction direction)
 {
     Pump &pump = m_pumps[direction];
-    std::string buffer(kReadBytes, '\0');
-    asio::error_code ec;
-    while (m_isOpen && !ec) {
-        if (pump.queuedBytes >= kMaxQueuedBytes) {
-            co_await wait(steady_clock::now() + kRecheckInterval);
-            continue;
+    if (pump.isReading || pump.isAtEnd || pump.queuedBytes >= kMaxQueuedBytes)
+        return;
+    pump.isReading = true;
+    auto onRead = [self = shared_from_this(), direction, &pump](asio::error_code ec,
+                                                                std::size_t n) {
+        pump.isReading = false;
+        if (!self->m_isOpen)
+            return;
+        if (ec && ec != asio::error::eof) {
+            self->close();
+            return;
         }
-        const std::size_t n = co_await pump.from.async_read_some(
-                asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        if (ec && ec != asio::error::eof)
-            throw asio::system_error(ec);
-        pump.queue.push_back({ dueTime(direction, n), buffer.substr(0, n) });
-        pump.queuedBytes += n;
-        pump.wakeUp.cancel();
-    }
+        pump.isAtEnd = bool(ec);
+        self->enqueue(direction, std::string(pump.buffer.data(), n));
+        self->read(direction);
+    };
+    pump.from.async_read_some(asio::buffer(pump.buffer), std::move(onRead));
 }
 
-asio::awaitable<void> RelaySession::write(Direction direction)
+void RelaySession::enqueue(Direction direction, std::string data)
 {
-    Pump &pump = m_pumps[direction];
-    while (m_isOpen && !pump.isFinished) {
-        if (pump.queue.empty()) {
-            asio::error_code ec;
-            pump.wakeUp.expires_at(RelayGroup::Time::max());
-            co_await pump.wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-            continue;
-        }
-        if (m_group.cut == Cut::Stall) {
-            co_await wait(steady_clock::now() + kRecheckInterval);
-            continue;
-        }
-        co_await wait(pump.queue.front().due);
-        if (m_group.cut == Cut::Stall)
-            continue;
-        const Chunk chunk = std::move(pump.queue.front());
-        pump.queue.pop_front();
-        pump.queuedBytes -= chunk.data.size();
-        pump.isFinished = chunk.data.empty();
-        if (pump.isFinished)
-            pump.to.shutdown(asio::socket_base::shutdown_send);
-        else
-            co_await asio::async_write(pump.to, asio::buffer(chunk.data), asio::use_awaitable);
-    }
+    const auto now = steady_clock::now();
+    RelayGroup::Time &freeAt = m_group.freeAt[direction];
+    freeAt = std::max(freeAt, now);
+    if (m_group.bytesPerSecond > 0)
+        freeAt += seconds(static_cast<double>(data.size()) / m_group.bytesPerSecond);
+    m_group.bytes[direction] += data.size();
+    m_pumps[direction].queuedBytes += data.size();
+    m_pumps[direction].queue.push_back(
+            { freeAt + seconds(m_group.delayMs / 1000), std::move(data) });
+    write(direction);
 }
 
-asio::awaitable<void> RelaySession::wait(RelayGroup::Time time)
+void RelaySession::write(Direction direction)
 {
-    asio::steady_timer timer(m_client.get_executor(), time);
-    co_await timer.async_wait(asio::use_awaitable);
+    Pump &pump = m_pumps[direction];
+    if (pump.isWriting || pump.queue.empty() || !m_isOpen || m_group.cut == Cut::Stall)
+        return;
+    pump.isWriting = true;
+    pump.timer.expires_at(pump.queue.front().due);
+    pump.timer.async_wait([self = shared_from_this(), direction, &pump](asio::error_code) {
+        if (!self->m_isOpen || self->m_group.cut == Cut::Stall) {
+            pump.isWriting = false;
+            return;
+        }
+        if (pump.queue.front().data.empty()) {
+            self->finishChunk(direction);
+            return;
+        }
+        auto onWritten = [self, direction](asio::error_code ec, std::size_t) {
+            if (ec)
+                self->close();
+            else
+                self->finishChunk(direction);
+        };
+        asio::async_write(pump.to, asio::buffer(pump.queue.front().data), std::move(onWritten));
+    });
 }
 
-RelayGroup::Time RelaySession::dueTime(Direction direction, std::size_t bytes)
+void RelaySession::finishChunk(Direction direction)
 {
-    RelayGroup::Time &freeAt = m_group.freeAt[direction];
-    freeAt = std::max(freeAt, steady_clock::now());
-    if (m_group.bytesPerSecond > 0)
-        freeAt += seconds(static_cast<double>(bytes) / m_group.bytesPerSecond);
-    m_group.bytes[direction] += bytes;
-    return freeAt + seconds(m_group.delayMs / 1000);
+    Pump &pump = m_pumps[direction];
+    const bool isEnd = pump.queue.front().data.empty();
+    pump.queuedBytes -= pump.queue.front().data.size();
+    pump.queue.pop_front();
+    pump.isWriting = false;
+    if (isEnd) {
+        // The connection ends when both directions did.
+        asio::error_code ec;
+        pump.to.shutdown(asio::socket_base::shutdown_send, ec);
+        const bool isDone = m_pumps[Forward].isAtEnd && m_pumps[Backward].isAtEnd
+                            && m_pumps[Forward].queue.empty() && m_pumps[Backward].queue.empty();
+        if (isDone)
+            close();
+        return;
+    }
+    read(direction);
+    write(direction);
 }
 
 } // namespace lycheebay::relay
--- a/tools/relay/relaysession.h
+++ b/tools/relay/relaysession.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <set>
@@ -47,6 +48,8 @@
 
     void start(const asio::ip::tcp::endpoint &target);
     void close();
+    /// Continues after the group's cut has ended.
+    void resume();
 
 private:
     struct Chunk
@@ -57,21 +60,27 @@
     };
     struct Pump
     {
+        Pump(asio::ip::tcp::socket &source, asio::ip::tcp::socket &sink)
+            : from(source)
+            , to(sink)
+            , timer(source.get_executor())
+        {}
+
         asio::ip::tcp::socket &from;
         asio::ip::tcp::socket &to;
-        /// Cancelled when the queue gets its first chunk and when the session closes.
-        asio::steady_timer wakeUp;
-        std::deque<Chunk> queue{};
+        asio::steady_timer timer;
+        std::array<char, 16384> buffer{};
+        std::deque<Chunk> queue;
         std::size_t queuedBytes = 0;
-        bool isFinished = false;
+        bool isReading = false;
+        bool isWriting = false;
+        bool isAtEnd = false;
     };
 
-    asio::awaitable<void> connect(asio::ip::tcp::endpoint target);
-    asio::awaitable<void> read(Direction direction);
-    asio::awaitable<void> write(Direction direction);
-    asio::awaitable<void> wait(RelayGroup::Time time);
-    RelayGroup::Time dueTime(Direction direction, std::size_t bytes);
-    void spawn(asio::awaitable<void> task);
+    void read(Direction direction);
+    void enqueue(Direction direction, std::string data);
+    void write(Direction direction);
+    void finishChunk(Direction direction);
 
     RelayGroup &m_group;
     asio::ip::tcp::socket m_client;
