--- /dev/null
+++ b/src/platform/tests/httpplatformtest.cpp
@@ -0,0 +1,249 @@
+#include "platform/httpplatform.h"
+#include "platform/logstatus.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+namespace lycheebay {
+
+namespace {
+
+/// An HTTP server that gives one canned response to everything.
+class CannedServer
+{
+public:
+    CannedServer(int status, std::string body)
+    {
+        const auto handler = [this, status, body](const httplib::Request &request,
+                                                  httplib::Response &response) {
+            m_lastBody = request.body;
+            response.status = status;
+            response.set_content(body, "application/json");
+        };
+        m_server.Get(".*", handler);
+        m_server.Post(".*", handler);
+        m_port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
+        // stop() has no effect on a server that does not run yet.
+        while (!m_server.is_running())
+            std::this_thread::yield();
+    }
+    ~CannedServer()
+    {
+        m_server.stop();
+        m_thread.join();
+    }
+    HttpPlatformSettings settings() const
+    {
+        HttpPlatformSettings settings;
+        settings.address = { "127.0.0.1", static_cast<std::uint16_t>(m_port) };
+        settings.maxResponseBytes = 4096;
+        return settings;
+    }
+    std::string lastBody() const { return m_lastBody; }
+
+private:
+    httplib::Server m_server;
+    int m_port = 0;
+    std::string m_lastBody;
+    std::thread m_thread;
+};
+
+/// A TCP listener that accepts one connection, reads the request and sends \a response, if any.
+class RawServer
+{
+public:
+    explicit RawServer(std::string response)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        socklen_t n = sizeof(address);
+        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, generic, n));
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, generic, &n));
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this, response = std::move(response)] {
+            const int connection = accept(m_socket, nullptr, nullptr);
+            char buf[4096];
+            if (recv(connection, buf, sizeof(buf), 0) > 0)
+                send(connection, response.data(), response.size(), MSG_NOSIGNAL);
+            close(connection);
+        });
+    }
+    ~RawServer()
+    {
+        m_thread.join();
+        close(m_socket);
+    }
+    HttpPlatformSettings settings() const { return { { "127.0.0.1", m_port } }; }
+
+private:
+    int m_socket;
+    std::uint16_t m_port = 0;
+    std::thread m_thread;
+};
+
+struct Case
+{
+    int status;
+    const char *body;
+    absl::StatusCode expected;
+};
+
+} // namespace
+
+class HttpPlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpPlatformTest);
+    CPPUNIT_TEST(appendErrorsTellWhetherTheRecordMayExist);
+    CPPUNIT_TEST(lostAppendResponsesAreUnknown);
+    CPPUNIT_TEST(refusedConnectionIsUnavailable);
+    CPPUNIT_TEST(readsRejectMalformedResponses);
+    CPPUNIT_TEST(listRejectsMalformedResponses);
+    CPPUNIT_TEST(rejectsWhatCannotBeSent);
+    CPPUNIT_TEST(oversizedResponseIsAnError);
+    CPPUNIT_TEST(threadsShareOnePlatform);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second append of a record that the first request did append.
+    void appendErrorsTellWhetherTheRecordMayExist()
+    {
+        const Case cases[] = {
+            { 200, R"({"offset":7})", absl::StatusCode::kOk },
+            { 200, R"({"offset":"7"})", absl::StatusCode::kUnknown },
+            { 200, R"({"offset":-7})", absl::StatusCode::kUnknown },
+            { 200, "{", absl::StatusCode::kUnknown },
+            { 200, "[]", absl::StatusCode::kUnknown },
+            { 500, "", absl::StatusCode::kUnknown },
+            { 503, R"({"offset":7})", absl::StatusCode::kUnknown },
+            { 404, "", absl::StatusCode::kUnavailable },
+        };
+        for (const Case &item : cases) {
+            const CannedServer server(item.status, item.body);
+            HttpPlatform platform(server.settings());
+            const auto offset = platform.append("configuration", "a \"b\"");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.body, int(item.expected),
+                                         int(offset.status().code()));
+            CPPUNIT_ASSERT_EQUAL(std::string(R"({"data":"a \"b\""})"), server.lastBody());
+        }
+    }
+
+    void lostAppendResponsesAreUnknown()
+    {
+        for (const std::string response :
+             { "", "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"off", "no HTTP\r\n\r\n" }) {
+            const RawServer server(response);
+            HttpPlatform platform(server.settings());
+            CPPUNIT_ASSERT(absl::IsUnknown(platform.append("configuration", "x").status()));
+        }
+    }
+
+    void refusedConnectionIsUnavailable()
+    {
+        HttpPlatformSettings settings;
+        {
+            const CannedServer server(200, "");
+            settings = server.settings();
+        }
+        HttpPlatform platform(settings);
+        CPPUNIT_ASSERT(absl::IsUnavailable(platform.append("configuration", "x").status()));
+        CPPUNIT_ASSERT(absl::IsUnavailable(platform.read("configuration", 0, 1).status()));
+        CPPUNIT_ASSERT(absl::IsUnavailable(platform.list().status()));
+    }
+
+    void readsRejectMalformedResponses()
+    {
+        const Case cases[] = {
+            { 200, R"({"first":3,"next":9,"records":[{"offset":8,"data":"x"}]})",
+              absl::StatusCode::kOk },
+            { 200, R"({"first":3,"next":9,"records":[{"offset":4,"data":"x"}]})",
+              absl::StatusCode::kUnavailable },
+            { 200, R"({"first":3,"next":9,"records":[{"offset":8}]})",
+              absl::StatusCode::kUnavailable },
+            { 200, R"({"first":3,"next":9,"records":[7]})", absl::StatusCode::kUnavailable },
+            { 200, R"({"first":3,"next":9})", absl::StatusCode::kUnavailable },
+            { 200, "\xff", absl::StatusCode::kUnavailable },
+            { 200, R"({"first":6,"next":9,"records":[]})", absl::StatusCode::kOutOfRange },
+            { 410, R"({"first":6})", absl::StatusCode::kOutOfRange },
+            { 416, "", absl::StatusCode::kOutOfRange },
+            { 503, "", absl::StatusCode::kUnavailable },
+        };
+        for (const Case &item : cases) {
+            const CannedServer server(item.status, item.body);
+            HttpPlatform platform(server.settings());
+            const auto batch = platform.read("configuration", 5, 10);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.body, int(item.expected), int(batch.status().code()));
+            if (item.body == std::string(R"({"first":6})"))
+                CPPUNIT_ASSERT(firstOffsetOf(batch.status()) == std::uint64_t(6));
+        }
+    }
+
+    void listRejectsMalformedResponses()
+    {
+        const Case cases[] = {
+            { 200, R"({"instances":[{"id":"a","address":"127.0.0.1:1","state":"leaving"}]})",
+              absl::StatusCode::kOk },
+            { 200, R"({"instances":[{"id":"a","address":"127.0.0.1","state":"live"}]})",
+              absl::StatusCode::kUnavailable },
+            { 200, R"({"instances":[{"id":"a","address":"127.0.0.1:1","state":"x"}]})",
+              absl::StatusCode::kUnavailable },
+            { 200, R"({"instances":{}})", absl::StatusCode::kUnavailable },
+        };
+        for (const Case &item : cases) {
+            const CannedServer server(item.status, item.body);
+            HttpPlatform platform(server.settings());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.body, int(item.expected),
+                                         int(platform.list().status().code()));
+        }
+    }
+
+    void rejectsWhatCannotBeSent()
+    {
+        const CannedServer server(200, R"({"offset":7})");
+        HttpPlatform platform(server.settings());
+        CPPUNIT_ASSERT(absl::IsInvalidArgument(platform.append("configuration", "\xff").status()));
+        CPPUNIT_ASSERT(absl::IsInvalidArgument(platform.append("../x", "x").status()));
+        CPPUNIT_ASSERT(absl::IsInvalidArgument(platform.read("a b", 0, 1).status()));
+    }
+
+    // Guards against a response that fills the memory.
+    void oversizedResponseIsAnError()
+    {
+        const CannedServer server(200, std::string(5000, ' '));
+        HttpPlatform platform(server.settings());
+        CPPUNIT_ASSERT(absl::IsResourceExhausted(platform.read("configuration", 0, 1).status()));
+        CPPUNIT_ASSERT(absl::IsUnknown(platform.append("configuration", "x").status()));
+    }
+
+    void threadsShareOnePlatform()
+    {
+        const CannedServer server(200, R"({"first":0,"next":0,"records":[]})");
+        HttpPlatform platform(server.settings());
+        std::atomic<int> failures = 0;
+        std::vector<std::thread> threads;
+        for (int i = 0; i < 6; ++i) {
+            threads.emplace_back([&] {
+                for (int n = 0; n < 50; ++n)
+                    failures += platform.read("configuration", 0, 1).ok() ? 0 : 1;
+            });
+        }
+        for (std::thread &thread : threads)
+            thread.join();
+        CPPUNIT_ASSERT_EQUAL(0, failures.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpPlatformTest);
+
+} // namespace lycheebay
