--- a/src/configuration/configurationstate.h
+++ b/src/configuration/configurationstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/intrusiveptr.h"
+#include "configuration/configurationhistory.h"
 #include "configuration/configurationtypes.h"
 #include "estate/estate.h"
 
@@ -23,6 +24,14 @@
     const std::vector<RosterMember> &roster() const { return m_roster; }
     /// Newest last; bounded.
     const std::vector<AuditEntry> &audit() const { return m_audit; }
+    const ConfigurationHistory &history() const { return m_history; }
+
+    friend bool operator==(const ConfigurationState &a, const ConfigurationState &b)
+    {
+        return a.m_revision == b.m_revision && a.m_nextOffset == b.m_nextOffset
+               && *a.m_estate == *b.m_estate && a.m_roster == b.m_roster && a.m_audit == b.m_audit
+               && a.m_history == b.m_history;
+    }
 
 private:
     friend class ChangeApplier;
@@ -32,6 +41,7 @@
     IntrusivePtr<const Estate> m_estate = makeRef<const Estate>(EstateData{});
     std::vector<RosterMember> m_roster;
     std::vector<AuditEntry> m_audit;
+    ConfigurationHistory m_history;
 };
 
 } // namespace lycheebay
