--- a/src/configuration/tests/followertest.cpp
+++ b/src/configuration/tests/followertest.cpp
@@ -4,6 +4,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <atomic>
+#include <thread>
+
 namespace lycheebay {
 
 namespace {
@@ -62,7 +65,9 @@
     CPPUNIT_TEST(retentionWithoutSnapshotIsAnError);
     CPPUNIT_TEST(badBatchesChangeNothing);
     CPPUNIT_TEST(forgedPeerSnapshotInLogIsHarmless);
-    CPPUNIT_TEST(largeRecordsAreReadOneByOne);
+    CPPUNIT_TEST(keptRecordsAreBounded);
+    CPPUNIT_TEST(olderPeerSnapshotNeverReverts);
+    CPPUNIT_TEST(concurrentOffersNeverRevert);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,7 +166,7 @@
         CPPUNIT_ASSERT(whole.follower.state()->estate()->data().targets.empty());
     }
 
-    void largeRecordsAreReadOneByOne()
+    void keptRecordsAreBounded()
     {
         Topic<ConfigurationState> topic;
         ConfigurationFollower follower(topic, 1000);
@@ -176,6 +181,63 @@
         CPPUNIT_ASSERT(peer.follower.offer(snapshot).ok());
         CPPUNIT_ASSERT(*peer.follower.state() == *follower.state());
     }
+
+    // Guards against a lagging peer whose snapshot undoes a drain.
+    void olderPeerSnapshotNeverReverts()
+    {
+        Topic<ConfigurationState> topic;
+        ConfigurationFollower lagging(topic, 0);
+        Reader reader;
+        LogBatch batch{ 1, 1, 3, {} };
+        const Change sheet = makeChange("s", 0, SheetBody{ sampleEstate(), {} });
+        batch.records.push_back({ 1, *encodeChange(sheet) });
+        CPPUNIT_ASSERT(lagging.offer(batch).ok());
+        batch.records.push_back(
+                { 2, *encodeChange(makeChange("d", 1, DrainDomainBody{ "sof-a" })) });
+        CPPUNIT_ASSERT(reader.follower.offer(batch).ok());
+        const auto before = reader.follower.state();
+        const LogBatch older = lagging.recordsFrom(1, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), older.records.size());
+        CPPUNIT_ASSERT(reader.follower.offer(older).ok());
+        CPPUNIT_ASSERT(before == reader.follower.state());
+    }
+
+    // Guards against two links that apply the same records at the same time, or out of order.
+    void concurrentOffersNeverRevert()
+    {
+        constexpr std::uint64_t kRecords = 200;
+        LogBatch all{ 1, 1, kRecords + 1, {} };
+        for (std::uint64_t i = 1; i <= kRecords; ++i) {
+            const Change change =
+                    makeChange("j" + std::to_string(i), 0, JoinBody{ sampleMember("e-1", i) });
+            all.records.push_back({ i, *encodeChange(change) });
+        }
+        Reader reader;
+        std::atomic<bool> reverted = false;
+        reader.topic.subscribe([&, last = Revision(0)](const auto &state) mutable {
+            reverted = reverted || state->revision() < last;
+            last = state->revision();
+        });
+        std::vector<std::thread> threads;
+        for (std::uint64_t step = 1; step <= 4; ++step) {
+            threads.emplace_back([&, step] {
+                while (reader.follower.nextOffset() <= kRecords) {
+                    const auto from = reader.follower.nextOffset() - 1;
+                    const auto to = std::min(from + step, kRecords);
+                    LogBatch batch{ 1, from + 1, to + 1, {} };
+                    for (auto i = from; i < to; ++i)
+                        batch.records.push_back(all.records[i]);
+                    reverted = reverted || !reader.follower.offer(batch).ok();
+                }
+            });
+        }
+        for (std::thread &thread : threads)
+            thread.join();
+        Reader single;
+        CPPUNIT_ASSERT(single.follower.offer(all).ok());
+        CPPUNIT_ASSERT(!reverted);
+        CPPUNIT_ASSERT(*single.follower.state() == *reader.follower.state());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FollowerTest);
