--- a/src/routing/internal/cellplacement.cpp
+++ b/src/routing/internal/cellplacement.cpp
@@ -165,8 +165,7 @@
         // A long queue makes a slow slot worth its time, before the first request waited long.
         const Duration queueDelay =
                 request ? now - request->queuedAt + m_selector.waitAt(m_queue.size()) : Duration{};
-        const bool wanted =
-                request && m_selector.isAcceptable(heap.front().latency, queueDelay);
+        const bool wanted = request && m_selector.isAcceptable(heap.front().latency, queueDelay);
         if (wanted) {
             m_queue.remove(request);
             m_queue.recordStart(*request);
--- a/src/routing/internal/latencyhistogram.h
+++ b/src/routing/internal/latencyhistogram.h
@@ -25,7 +25,7 @@
     static constexpr double kMinimumSamples = 20;
     static constexpr int kBucketsPerOctave = 8;
     static constexpr int kOctaves = 24;
-    static constexpr std::size_t kBuckets = kBucketsPerOctave * kOctaves;
+    static constexpr std::size_t kBuckets = std::size_t{ kBucketsPerOctave } * kOctaves;
 
     void decay(TimePoint now);
     void updateQuantiles();
--- a/src/routing/tests/celldispatchertest.cpp
+++ b/src/routing/tests/celldispatchertest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lightRequestsDoNotStarve);
     CPPUNIT_TEST(shedsWhatWouldBeLate);
     CPPUNIT_TEST(shedsQueuedRequestAtItsDeadline);
+    CPPUNIT_TEST(fullQueueShedsLightForHeavy);
     CPPUNIT_TEST(retriesAvoidTriedTargetsWithinTheBudget);
     CPPUNIT_TEST(hedgesOnlyIdempotentRequestsOnAnotherTarget);
     CPPUNIT_TEST(fallbackSendsOnlyToWarmTargetsOneAtATime);
@@ -90,6 +91,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, cell.dispatcher.queuedCount());
     }
 
+    // Guards against orders that are refused while lookups wait.
+    void fullQueueShedsLightForHeavy()
+    {
+        DispatcherFixture cell(1, 1, { .maxQueued = 2 });
+        cell.submit();
+        cell.submit(1);
+        cell.submit(1);
+        const RequestId newest = cell.lastRequest;
+        CPPUNIT_ASSERT(std::holds_alternative<Shed>(cell.submit(1)));
+        CPPUNIT_ASSERT(std::holds_alternative<Queued>(cell.submit(2)));
+        const auto resolved = cell.dispatcher.tick(cell.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, resolved.size());
+        CPPUNIT_ASSERT_EQUAL(newest, std::get<Shed>(resolved[0]).request);
+    }
+
     // Guards against retries that multiply the load of a failing cell.
     void retriesAvoidTriedTargetsWithinTheBudget()
     {
--- a/tools/routing-bench/main.cpp
+++ b/tools/routing-bench/main.cpp
@@ -6,7 +6,7 @@
 
 #include <array>
 
-namespace lycheebay {
+using namespace lycheebay;
 
 namespace {
 
@@ -15,55 +15,28 @@
                                   StrategyKind::Random, StrategyKind::LeastOutstanding,
                                   StrategyKind::TwoChoices };
 
-void report(nlohmann::json &rows, const char *name, double load, const BenchSettings &settings,
-            const BenchResult &result)
+void report(const BenchSettings &settings, double load, const char *name, const BenchResult &result)
 {
-    const double share = result.goodput / settings.capacity();
-    rows.push_back({ { "strategy", name },
-                     { "load", load },
-                     { "p50Ms", result.quantile(0.5) },
-                     { "p99Ms", result.quantile(0.99) },
-                     { "p999Ms", result.quantile(0.999) },
-                     { "goodputShare", share },
-                     { "sheds", result.sheds },
-                     { "late", result.late },
-                     { "hedges", result.hedges } });
-}
-
-void print(const nlohmann::json &rows)
-{
-    fmt::print("{:>5} {:18} {:>8} {:>8} {:>8} {:>8} {:>7} {:>6} {:>6}\n", "load", "strategy",
-               "p50 ms", "p99 ms", "p999 ms", "goodput", "sheds", "late", "hedges");
-    for (const auto &row : rows) {
-        fmt::print("{:5.2f} {:18} {:8.1f} {:8.1f} {:8.1f} {:8.3f} {:7} {:6} {:6}\n",
-                   row["load"].get<double>(), row["strategy"].get<std::string>(),
-                   row["p50Ms"].get<double>(), row["p99Ms"].get<double>(),
-                   row["p999Ms"].get<double>(), row["goodputShare"].get<double>(),
-                   row["sheds"].get<std::size_t>(), row["late"].get<std::size_t>(),
-                   row["hedges"].get<std::size_t>());
+    const auto good = static_cast<double>(result.latenciesMs.size() - result.late);
+    const double goodput = good / settings.seconds / settings.capacity();
+    const double p50 = result.quantile(0.5);
+    const double p99 = result.quantile(0.99);
+    const double p999 = result.quantile(0.999);
+    if (!settings.json) {
+        fmt::print("{:5.2f} {:18} {:8.1f} {:8.1f} {:8.1f} {:8.3f} {:7} {:6} {:6}\n", load, name,
+                   p50, p99, p999, goodput, result.sheds, result.late, result.hedges);
+        return;
     }
+    const nlohmann::json row{ { "load", load },           { "strategy", name },
+                              { "p50Ms", p50 },           { "p99Ms", p99 },
+                              { "p999Ms", p999 },         { "goodput", goodput },
+                              { "late", result.late },    { "sheds", result.sheds },
+                              { "hedges", result.hedges } };
+    fmt::print("{}\n", row.dump());
 }
 
-nlohmann::json runAll(const BenchSettings &settings)
+BenchSettings parse(int argc, char **argv)
 {
-    nlohmann::json rows = nlohmann::json::array();
-    for (const double load : kLoads) {
-        const Workload workload = makeWorkload(settings, load);
-        Workload quiet = workload;
-        for (auto &list : quiet.slowdowns)
-            list.clear();
-        report(rows, "bound-no-slowdown", load, settings, runCentralQueue(settings, quiet));
-        report(rows, "bound", load, settings, runCentralQueue(settings, workload));
-        for (const StrategyKind kind : kStrategies)
-            report(rows, strategyName(kind), load, settings,
-                   CellRun(settings, workload, kind).run());
-    }
-    return rows;
-}
-
-BenchSettings parse(int argc, char **argv, bool &json)
-{
-    BenchSettings settings;
     TCLAP::CmdLine cmd("Measures the decisions of every dispatch strategy.", ' ', "1");
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "random seed", false, 1, "number", cmd);
     TCLAP::ValueArg<int> targets("", "targets", "targets", false, 16, "number", cmd);
@@ -74,33 +47,29 @@
     TCLAP::SwitchArg logNormal("", "log-normal", "log-normal service times", cmd);
     TCLAP::SwitchArg quiet("", "quiet", "no slowed targets", cmd);
     TCLAP::SwitchArg noHedge("", "no-hedge", "no hedged attempts", cmd);
-    TCLAP::SwitchArg jsonArg("", "json", "print JSON", cmd);
+    TCLAP::SwitchArg json("", "json", "one JSON object per line", cmd);
     cmd.parse(argc, argv);
-    settings.seed = seed.getValue();
-    settings.targets = targets.getValue();
-    settings.slots = slots.getValue();
-    settings.delayMs = delay.getValue();
-    settings.deadlineMs = deadline.getValue();
-    settings.seconds = seconds.getValue();
-    settings.logNormal = logNormal.getValue();
-    settings.noisy = !quiet.getValue();
-    settings.hedging = !noHedge.getValue();
-    json = jsonArg.getValue();
-    return settings;
+    return { seed.getValue(),     targets.getValue(), slots.getValue(),     delay.getValue(),
+             deadline.getValue(), seconds.getValue(), logNormal.getValue(), !quiet.getValue(),
+             !noHedge.getValue(), json.getValue() };
 }
 
 } // namespace
 
-} // namespace lycheebay
-
 int main(int argc, char **argv)
 {
-    bool json = false;
-    const auto settings = lycheebay::parse(argc, argv, json);
-    const nlohmann::json rows = lycheebay::runAll(settings);
-    if (json)
-        fmt::print("{}\n", rows.dump(2));
-    else
-        lycheebay::print(rows);
+    const BenchSettings settings = parse(argc, argv);
+    if (!settings.json)
+        fmt::print(" load strategy             p50 ms   p99 ms  p999 ms  goodput   sheds   late "
+                   "hedges\n");
+    for (const double load : kLoads) {
+        const Workload workload = makeWorkload(settings, load);
+        Workload quiet = workload;
+        quiet.slowdowns.assign(workload.slowdowns.size(), {});
+        report(settings, load, "bound-no-slowdown", runCentralQueue(settings, quiet));
+        report(settings, load, "bound", runCentralQueue(settings, workload));
+        for (const StrategyKind kind : kStrategies)
+            report(settings, load, strategyName(kind), CellRun(settings, workload, kind).run());
+    }
     return 0;
 }
--- a/tools/routing-bench/workload.cpp
+++ b/tools/routing-bench/workload.cpp
@@ -6,26 +6,23 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
-#include <queue>
 
 namespace lycheebay {
 
 namespace {
 
+constexpr double kMeanSeconds = 0.01;
+constexpr double kSlowFactor = 5;
 constexpr int kTargetsPerSlowOne = 8;
 constexpr double kOrderShare = 0.2;
-constexpr double kLogNormalSigma = 1;
 
-double exponential(SeededRandom &random, double mean)
+double serviceTime(SeededRandom &random, bool logNormal)
 {
-    return -mean * std::log1p(-random.uniform());
-}
-
-double logNormal(SeededRandom &random, double mean)
-{
-    const double radius = std::sqrt(-2 * std::log1p(-random.uniform()));
-    const double normal = radius * std::cos(2 * std::numbers::pi * random.uniform());
-    return mean * std::exp(kLogNormalSigma * normal - kLogNormalSigma * kLogNormalSigma / 2);
+    const double exponential = -std::log1p(-random.uniform());
+    if (!logNormal)
+        return kMeanSeconds * exponential;
+    const double angle = 2 * std::numbers::pi * random.uniform();
+    return kMeanSeconds * std::exp(std::sqrt(2 * exponential) * std::cos(angle) - 0.5);
 }
 
 } // namespace
@@ -33,7 +30,7 @@
 double BenchSettings::capacity() const
 {
     const int slow = noisy ? targets / kTargetsPerSlowOne : 0;
-    return slots * (targets - slow + slow / kSlowFactor) / meanMs * 1000;
+    return slots * (targets - slow + slow / kSlowFactor) / kMeanSeconds;
 }
 
 Duration BenchSettings::delay() const
@@ -41,10 +38,15 @@
     return fromSeconds(delayMs / 1000);
 }
 
+Duration BenchSettings::deadline() const
+{
+    return fromSeconds(deadlineMs / 1000);
+}
+
 double Workload::factor(std::size_t target, TimePoint now) const
 {
     const auto &list = slowdowns[target];
-    auto it = std::ranges::upper_bound(list, now, std::less<>{}, &Slowdown::from);
+    const auto it = std::ranges::upper_bound(list, now, std::less<>{}, &Slowdown::from);
     return it != list.begin() && now < std::prev(it)->to ? kSlowFactor : 1;
 }
 
@@ -52,70 +54,64 @@
 {
     SeededRandom random(settings.seed);
     Workload workload;
-    const TimePoint end = kStart + kWarmUp + fromSeconds(settings.seconds);
-    TimePoint at = kStart;
-    while (at < end) {
-        at += fromSeconds(exponential(random, 1 / (load * settings.capacity())));
-        const double mean = settings.meanMs / 1000;
-        const double service =
-                settings.logNormal ? logNormal(random, mean) : exponential(random, mean);
+    const TimePoint end = kMeasuredFrom + fromSeconds(settings.seconds);
+    for (TimePoint at = kStart; at < end;) {
+        at += fromSeconds(-std::log1p(-random.uniform()) / (load * settings.capacity()));
+        const double service = serviceTime(random, settings.logNormal);
         workload.jobs.push_back({ at, service, random.uniform() < kOrderShare });
     }
     workload.slowdowns.resize(static_cast<std::size_t>(settings.targets));
-    for (int i = 0; settings.noisy && i < settings.targets / kTargetsPerSlowOne; ++i) {
+    const int slow = settings.noisy ? settings.targets / kTargetsPerSlowOne : 0;
+    for (int i = 0; i < slow; ++i) {
+        const auto group = static_cast<std::size_t>(i) * kTargetsPerSlowOne;
         for (TimePoint from = kStart; from < end;) {
             const TimePoint to = from + fromSeconds(0.05 + 0.45 * random.uniform());
-            const std::size_t member = random.below(kTargetsPerSlowOne);
-            const auto group = static_cast<std::size_t>(i) * kTargetsPerSlowOne;
-            workload.slowdowns[group + member].push_back({ from, to });
+            workload.slowdowns[group + random.below(kTargetsPerSlowOne)].push_back({ from, to });
             from = to;
         }
     }
     return workload;
 }
 
+void BenchResult::add(const Job &job, TimePoint end, Duration deadline)
+{
+    if (job.arrival < kMeasuredFrom)
+        return;
+    latenciesMs.push_back(toSeconds(std::min(end - job.arrival, deadline)) * 1000);
+    late += end - job.arrival >= deadline;
+}
+
 double BenchResult::quantile(double share) const
 {
-    if (latenciesMs.empty())
-        return 0;
     std::vector<double> sorted = latenciesMs;
     const auto at = static_cast<std::ptrdiff_t>(share * static_cast<double>(sorted.size() - 1));
     std::ranges::nth_element(sorted, sorted.begin() + at);
-    return sorted[static_cast<std::size_t>(at)];
+    return sorted.at(static_cast<std::size_t>(at));
 }
 
 BenchResult runCentralQueue(const BenchSettings &settings, const Workload &workload)
 {
     const auto slots = static_cast<std::size_t>(settings.slots);
     std::vector<TimePoint> freeAt(workload.slowdowns.size() * slots, kStart);
-    const Duration deadline = fromSeconds(settings.deadlineMs / 1000);
     BenchResult result;
     for (const Job &job : workload.jobs) {
-        const TimePoint earliest = std::ranges::min(freeAt);
-        const TimePoint start = std::max(job.arrival + settings.delay(), earliest);
-        const double quick = job.serviceSeconds;
-        if (start + fromSeconds(quick) + settings.delay() > job.arrival + deadline) {
-            result.sheds += job.arrival >= kStart + kWarmUp;
-            continue;
-        }
-        std::size_t chosen = freeAt.size();
-        for (std::size_t i = 0; i < freeAt.size(); ++i) {
-            if (freeAt[i] > start)
-                continue;
-            if (chosen == freeAt.size()
-                || workload.factor(i / slots, start) < workload.factor(chosen / slots, start))
-                chosen = i;
+        const TimePoint start = std::max(job.arrival + settings.delay(), std::ranges::min(freeAt));
+        const auto cost = [&](std::size_t slot) {
+            return freeAt[slot] > start ? 2 * kSlowFactor : workload.factor(slot / slots, start);
+        };
+        std::size_t chosen = 0;
+        for (std::size_t slot = 1; slot < freeAt.size(); ++slot) {
+            if (cost(slot) < cost(chosen))
+                chosen = slot;
         }
-        const double service = quick * workload.factor(chosen / slots, start);
-        freeAt[chosen] = start + fromSeconds(service);
-        const Duration latency = freeAt[chosen] + settings.delay() - job.arrival;
-        if (job.arrival < kStart + kWarmUp)
+        const Duration service = fromSeconds(job.serviceSeconds * cost(chosen));
+        if (start + service + settings.delay() > job.arrival + settings.deadline()) {
+            result.sheds += job.arrival >= kMeasuredFrom;
             continue;
-        result.latenciesMs.push_back(toSeconds(std::min(latency, deadline)) * 1000);
-        result.late += latency > deadline;
+        }
+        freeAt[chosen] = start + service;
+        result.add(job, freeAt[chosen] + settings.delay(), settings.deadline());
     }
-    const std::size_t good = result.latenciesMs.size() - result.late;
-    result.goodput = static_cast<double>(good) / settings.seconds;
     return result;
 }
 
--- a/tools/routing-bench/workload.h
+++ b/tools/routing-bench/workload.h
@@ -12,17 +12,18 @@
     std::uint64_t seed = 1;
     int targets = 16;
     int slots = 4;
-    double meanMs = 10;
-    bool logNormal = false;
-    bool noisy = true;
-    bool hedging = true;
     double delayMs = 0.1;
     double deadlineMs = 500;
     double seconds = 20;
+    bool logNormal = false;
+    bool noisy = true;
+    bool hedging = true;
+    bool json = false;
 
-    /// Requests per second that all slots together can handle, slowed targets included.
+    /// Requests per second that all slots can handle, slowed targets included.
     double capacity() const;
     Duration delay() const;
+    Duration deadline() const;
 };
 
 struct Job
@@ -38,6 +39,9 @@
     TimePoint to;
 };
 
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr TimePoint kMeasuredFrom = kStart + std::chrono::seconds(2);
+
 /// Arrivals, service times and slowdowns; the same for every strategy.
 struct Workload
 {
@@ -50,22 +54,19 @@
 
 Workload makeWorkload(const BenchSettings &settings, double load);
 
+/// What the callers of one run saw.
 struct BenchResult
 {
     std::vector<double> latenciesMs;
-    double goodput = 0;
     std::size_t sheds = 0;
     std::size_t late = 0;
     std::size_t hedges = 0;
 
+    void add(const Job &job, TimePoint end, Duration deadline);
     double quantile(double share) const;
 };
 
-constexpr Duration kWarmUp = std::chrono::seconds(2);
-constexpr TimePoint kStart{ std::chrono::hours(1) };
-constexpr double kSlowFactor = 5;
-
-/// One queue over all slots with knowledge of the present slowdowns.
+/// One queue over all slots; free slots of targets that are not slowed are taken first.
 BenchResult runCentralQueue(const BenchSettings &settings, const Workload &workload);
 
 } // namespace lycheebay
