Follow the linter in the peer links and peer-bench

Cause: clang-tidy reported copies and moves without effect.

Change: pass the frame by reference, reserve, and return statuses that can be moved.

Conclusion: none beyond the change.

--- a/src/transport/internal/peerlink.cpp
+++ b/src/transport/internal/peerlink.cpp
@@ -47,7 +47,7 @@
     readLength();
 }
 
-void PeerLink::send(std::string frame)
+void PeerLink::send(const std::string &frame)
 {
     if (m_closed)
         return;
--- a/src/transport/internal/peerlink.h
+++ b/src/transport/internal/peerlink.h
@@ -32,7 +32,7 @@
 
     LinkId id() const { return m_id; }
     void start();
-    void send(std::string frame);
+    void send(const std::string &frame);
     /// No owner function is called after it.
     void close();
 
--- a/src/transport/internal/peernodeframes.cpp
+++ b/src/transport/internal/peernodeframes.cpp
@@ -246,6 +246,7 @@
         return absl::OkStatus();
     sendVerdicts(news, link);
     std::vector<TargetVerdict> verdicts;
+    verdicts.reserve(news.size());
     for (const StampedVerdict &stamped : news)
         verdicts.push_back(stamped.verdict);
     if (m_callbacks.verdictsReceived)
--- a/src/transport/internal/peernodeimpl.cpp
+++ b/src/transport/internal/peernodeimpl.cpp
@@ -34,8 +34,7 @@
 
 absl::Status PeerNode::Impl::start(ITimerService &timers)
 {
-    const absl::Status status = m_links.start(this);
-    if (!status.ok())
+    if (absl::Status status = m_links.start(this); !status.ok())
         return status;
     const std::lock_guard lock(m_mutex);
     m_timers = &timers;
--- a/src/transport/internal/peernodesending.cpp
+++ b/src/transport/internal/peernodesending.cpp
@@ -176,7 +176,7 @@
         return;
     wire::RecordRequestT request;
     request.from = m_ownOffset;
-    sendFrame(it->first, it->second, PeerMessage::RecordRequest, encodeFrame(std::move(request)));
+    sendFrame(it->first, it->second, PeerMessage::RecordRequest, encodeFrame(request));
 }
 
 void PeerNode::Impl::pushRecords(const std::vector<ConfigurationRelay::Push> &pushes)
--- a/src/transport/internal/peertransportimpl.cpp
+++ b/src/transport/internal/peertransportimpl.cpp
@@ -46,8 +46,7 @@
 absl::Status PeerTransport::Impl::start(IPeerLinkListener *listener)
 {
     m_listener = listener;
-    const absl::Status status = listen();
-    if (!status.ok())
+    if (absl::Status status = listen(); !status.ok())
         return status;
     m_started = true;
     asio::post(m_context, [self = shared_from_this()] { self->accept(); });
@@ -295,15 +294,14 @@
         close(link, "too much waits for the I/O thread");
         return;
     }
-    asio::post(m_context,
-               [self = shared_from_this(), link, size, frame = std::move(frame)]() mutable {
-                   self->m_postedBytes -= size;
-                   const auto it = self->m_links.find(link);
-                   if (it != self->m_links.end()) {
-                       const std::shared_ptr<PeerLink> target = it->second.link;
-                       target->send(std::move(frame));
-                   }
-               });
+    asio::post(m_context, [self = shared_from_this(), link, size, frame = std::move(frame)] {
+        self->m_postedBytes -= size;
+        const auto it = self->m_links.find(link);
+        if (it != self->m_links.end()) {
+            const std::shared_ptr<PeerLink> target = it->second.link;
+            target->send(frame);
+        }
+    });
 }
 
 void PeerTransport::Impl::close(LinkId link, std::string reason)
--- a/tools/peer-bench/peercluster.cpp
+++ b/tools/peer-bench/peercluster.cpp
@@ -70,8 +70,7 @@
         seeds.push_back(m_nodes[i]->self.peer);
     for (const auto &node : m_nodes) {
         node->node->setSeeds(seeds);
-        const absl::Status status = node->node->start(m_timers);
-        if (!status.ok())
+        if (absl::Status status = node->node->start(m_timers); !status.ok())
             return status;
     }
     return absl::OkStatus();
