Spread member tables faster over new links

Each new link repaired the table from its start with 8 members per heartbeat, and contact links live only 3 s.

Change: one page cursor per node, so that links carry different pages of 32 members; a difference that lasts is repaired slowly to bound its cost.

Conclusion: instances that know the roster start with the whole table, so this path serves first starts and healed partitions.

--- a/src/transport/internal/peerlinkstate.h
+++ b/src/transport/internal/peerlinkstate.h
@@ -45,7 +45,6 @@
     std::array<SentHeartbeat, 16> sent{};
     std::size_t sentCount = 0;
     std::uint64_t changeCursor = 0;
-    std::string pageCursor;
     int hashMismatches = 0;
     std::uint64_t nextOffset = 0;
     std::uint64_t bytesIn = 0;
--- a/src/transport/internal/peernodeimpl.cpp
+++ b/src/transport/internal/peernodeimpl.cpp
@@ -30,6 +30,7 @@
     , m_table(m_settings.self, m_settings.startedAtMs, m_settings.table, clock.now())
     , m_verdicts(m_settings.self.incarnation)
     , m_plan(makeRef<const CellPlan>(std::vector<Member>()))
+    , m_pageCursor(m_settings.self.instanceId)
 {}
 
 absl::Status PeerNode::Impl::start(ITimerService &timers)
--- a/src/transport/internal/peernodeimpl.h
+++ b/src/transport/internal/peernodeimpl.h
@@ -81,6 +81,7 @@
     void sendFrame(LinkId link, PeerLinkState &state, PeerMessage kind, std::string frame);
     void sendHeartbeat(LinkId link, PeerLinkState &state, TimePoint now);
     void sendHeartbeats(TimePoint now);
+    std::size_t repairPage(const PeerLinkState &state) const;
     void sendVerdicts(const std::vector<StampedVerdict> &verdicts, LinkId except);
     void sendVerdictsTo(LinkId link, PeerLinkState &state,
                         const std::vector<StampedVerdict> &verdicts);
@@ -135,6 +136,8 @@
     std::uint64_t m_ownOffset = 0;
     std::uint64_t m_nextTransfer = 1;
     int m_verdictRequests = 0;
+    /// Where the next repair page starts; shared by all links, so that they carry different pages.
+    std::string m_pageCursor;
     std::map<std::string, TimePoint> m_removalsAsked;
     std::uint64_t m_planSequence = ~std::uint64_t{ 0 };
     std::uint64_t m_neighbourSequence = ~std::uint64_t{ 0 };
--- a/src/transport/internal/peernodesending.cpp
+++ b/src/transport/internal/peernodesending.cpp
@@ -11,7 +11,12 @@
 
 // Changes travel at once, but a storm of them is bundled.
 constexpr Duration kMinHeartbeatSpacing = std::chrono::milliseconds(20);
-constexpr std::size_t kRepairPage = 8;
+// Full pages compare some thousand members over all links. A difference that remains is repaired
+// slowly, so that it cannot use up the 5 KB/s for control.
+constexpr std::size_t kRepairPage = 32;
+constexpr int kFullPages = 16;
+constexpr std::size_t kSlowRepairPage = 4;
+constexpr int kSlowRepairInterval = 8;
 constexpr std::size_t kMaxBatchRecords = 256;
 
 log4cplus::Logger &logger()
@@ -66,6 +71,16 @@
     }
 }
 
+std::size_t PeerNode::Impl::repairPage(const PeerLinkState &state) const
+{
+    const int mismatches = state.hashMismatches;
+    if (mismatches < kMismatchesBeforeRepair)
+        return 0;
+    if (mismatches < kMismatchesBeforeRepair + kFullPages)
+        return kRepairPage;
+    return mismatches % kSlowRepairInterval == 0 ? kSlowRepairPage : 0;
+}
+
 void PeerNode::Impl::sendHeartbeat(LinkId link, PeerLinkState &state, TimePoint now)
 {
     wire::HeartbeatT heartbeat;
@@ -80,8 +95,8 @@
     for (const MemberUpdate &update :
          m_table.changesAfter(state.changeCursor, kMaxMembersPerHeartbeat))
         heartbeat.members.push_back(std::make_unique<wire::MemberEntryT>(toWire(update)));
-    if (state.hashMismatches >= kMismatchesBeforeRepair && heartbeat.members.empty()) {
-        for (const MemberUpdate &update : m_table.page(state.pageCursor, kRepairPage))
+    if (const std::size_t count = repairPage(state)) {
+        for (const MemberUpdate &update : m_table.page(m_pageCursor, count))
             heartbeat.members.push_back(std::make_unique<wire::MemberEntryT>(toWire(update)));
     }
     state.noteSent(heartbeat.number, now);
