Follow renamed types and keep warm verdicts of peers

Cause: verdicts also list targets known to be warm, since a fallback entry must tell them from unknown ones; the adapter dropped them. Change: PeerSharing keeps every verdict; the metrics use DurationHistogram. Conclusion: verdicts pass unchanged.

--- a/src/daemon/metricsexport.cpp
+++ b/src/daemon/metricsexport.cpp
@@ -118,15 +118,15 @@
 }
 
 void MetricsBuilder::histogram(const std::string &name, const std::string &help,
-                               const LatencyHistogram &histogram)
+                               const DurationHistogram &histogram)
 {
     prometheus::ClientMetric metric;
     std::uint64_t cumulative = 0;
-    for (std::size_t i = 0; i < LatencyHistogram::kBuckets; ++i) {
+    for (std::size_t i = 0; i < DurationHistogram::kBuckets; ++i) {
         cumulative += histogram.count(i);
-        const bool last = i + 1 == LatencyHistogram::kBuckets;
+        const bool last = i + 1 == DurationHistogram::kBuckets;
         const double bound = last ? std::numeric_limits<double>::infinity()
-                                  : seconds(LatencyHistogram::upperBound(i));
+                                  : seconds(DurationHistogram::upperBound(i));
         metric.histogram.bucket.push_back({ cumulative, bound });
     }
     metric.histogram.sample_count = cumulative;
--- a/src/daemon/metricsexport.h
+++ b/src/daemon/metricsexport.h
@@ -14,7 +14,7 @@
 struct HttpFrontCounters;
 struct PeerTraffic;
 class CellDirectory;
-class LatencyHistogram;
+class DurationHistogram;
 
 /// Collects metric families in the Prometheus data model. Names follow its conventions: base units,
 /// `_total` for counters, few label values. Not thread-safe: one builder a scrape.
@@ -26,7 +26,7 @@
     void gauge(const std::string &name, const std::string &help, double value,
                const std::vector<prometheus::ClientMetric::Label> &labels = {});
     void histogram(const std::string &name, const std::string &help,
-                   const LatencyHistogram &histogram);
+                   const DurationHistogram &histogram);
 
     /// Returns the text exposition format.
     std::string render() const;
--- a/src/daemon/peersharing.cpp
+++ b/src/daemon/peersharing.cpp
@@ -2,19 +2,10 @@
 
 #include "transport/peernode.h"
 
-#include <fmt/format.h>
+#include <algorithm>
 
 namespace lycheebay {
 
-namespace {
-
-bool isDefault(const TargetVerdict &verdict)
-{
-    return !verdict.ejected && !verdict.cold && !verdict.draining && verdict.ejections == 0;
-}
-
-} // namespace
-
 PeerSharing::PeerSharing(const Blackboard &board, const IClock &clock)
     : m_board(board)
     , m_clock(clock)
@@ -24,11 +15,7 @@
 {
     const std::lock_guard lock(m_verdictMutex);
     for (const TargetVerdict &verdict : verdicts) {
-        if (isDefault(verdict))
-            m_verdicts.erase(verdict.targetId);
-        else
-            m_verdicts.insert_or_assign(verdict.targetId,
-                                        ReceivedVerdict{ verdict, m_clock.now() });
+        m_verdicts.insert_or_assign(verdict.targetId, ReceivedVerdict{ verdict, m_clock.now() });
     }
 }
 
@@ -43,24 +30,9 @@
 
 void PeerSharing::publishVerdicts(const CellVerdicts &verdicts)
 {
-    std::vector<TargetVerdict> changed = verdicts.verdicts;
-    {
-        const std::lock_guard lock(m_verdictMutex);
-        StringSet &published =
-                m_published[fmt::format("{}\n{}", verdicts.service, verdicts.region)];
-        for (const TargetVerdict &verdict : verdicts.verdicts)
-            published.erase(verdict.targetId);
-        for (const std::string &targetId : published) {
-            TargetVerdict healthy;
-            healthy.targetId = targetId;
-            changed.push_back(healthy);
-        }
-        published.clear();
-        for (const TargetVerdict &verdict : verdicts.verdicts)
-            published.insert(verdict.targetId);
-    }
-    if (m_node && !changed.empty())
-        m_node->shareVerdicts(changed);
+    // The node sends only what changed. A target without a verdict is not known yet.
+    if (m_node && !verdicts.verdicts.empty())
+        m_node->shareVerdicts(verdicts.verdicts);
 }
 
 std::vector<TargetVerdict> PeerSharing::latestVerdicts(std::string_view service,
--- a/src/daemon/peersharing.h
+++ b/src/daemon/peersharing.h
@@ -45,9 +45,6 @@
 
     mutable std::mutex m_verdictMutex;
     StringMap<ReceivedVerdict> m_verdicts;
-    /// Targets that this instance shared a verdict of, by cell; a target that is left out of the
-    /// next publication has returned to the default.
-    StringMap<StringSet> m_published;
 
     std::mutex m_suspectMutex;
     SuspectReceiver m_receiver;
