Agree on the body of an append

Cause: the client sent {"data": ...} and the platform stand-in stored the body as it was, so every record was malformed; the audit trail showed it. Change: the stand-in takes the JSON object; the design names it. Conclusion: client and stand-in follow the same protocol.

--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -87,7 +87,7 @@
         , method("", "method", "", false, "GET", "M", line)
         , path("", "path", "", false, "/", "P", line)
         , tenant("", "tenant", "", false, "", "T", line)
-        , words("words", "", false, "COMMAND", line)
+        , words("words", "Command and its arguments", false, "COMMAND", line)
     {}
 
     Options toOptions() const
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -134,16 +134,14 @@
     return jsonResponse(faults);
 }
 
-HttpResponse PlatformServer::append(const std::string &stream, const std::string &data)
+HttpResponse PlatformServer::append(const std::string &stream, const std::string &body)
 {
-    try {
-        json(data).dump();
-    } catch (const json::exception &) {
-        return errorResponse(400, "the record is not valid UTF-8");
-    }
+    const json record = json::parse(body, nullptr, false);
+    if (!record.is_object() || !record.contains("data") || !record["data"].is_string())
+        return errorResponse(400, "expected {\"data\": string}");
     if (!takeAppendToken())
         return errorResponse(503, "append rate exceeded");
-    const std::uint64_t offset = m_store.append(stream, data);
+    const std::uint64_t offset = m_store.append(stream, record["data"].get<std::string>());
     if (m_faults.loseAnswers >= 1) {
         m_faults.loseAnswers -= 1;
         m_loseThisAnswer = true;
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -46,7 +46,7 @@
     void respond(const HttpConnectionPtr &connection, HttpResponse response);
     HttpResponse route(const HttpRequest &request);
     HttpResponse handleFaults(const HttpRequest &request);
-    HttpResponse append(const std::string &stream, const std::string &data);
+    HttpResponse append(const std::string &stream, const std::string &body);
     HttpResponse read(const std::string &stream, const HttpRequest &request);
     HttpResponse listInstances();
     HttpResponse changeInstance(const std::string &id, const HttpRequest &request);
--- a/standins/platform/tests/platformservertest.cpp
+++ b/standins/platform/tests/platformservertest.cpp
@@ -56,7 +56,7 @@
     void lostAnswerTakesEffect()
     {
         setFaults({ { "loseAnswers", 1 } });
-        CPPUNIT_ASSERT(!m_client->Post("/streams/s/records", "lost", "text/plain"));
+        CPPUNIT_ASSERT(!post("lost"));
         CPPUNIT_ASSERT_EQUAL(2, append("second"));
         CPPUNIT_ASSERT_EQUAL(std::string("lost"), read(1)["records"][0]["data"].get<std::string>());
     }
@@ -65,7 +65,7 @@
     void downHasNoEffect()
     {
         setFaults({ { "down", true } });
-        CPPUNIT_ASSERT(!m_client->Post("/streams/s/records", "x", "text/plain"));
+        CPPUNIT_ASSERT(!post("x"));
         setFaults({ { "down", false } });
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), read(1)["records"].size());
     }
@@ -85,9 +85,15 @@
         CPPUNIT_ASSERT(answer && answer->status == 200);
     }
 
+    httplib::Result post(const std::string &data)
+    {
+        return m_client->Post("/streams/s/records", json{ { "data", data } }.dump(),
+                              "application/json");
+    }
+
     int append(const std::string &data)
     {
-        const auto answer = m_client->Post("/streams/s/records", data, "text/plain");
+        const auto answer = post(data);
         CPPUNIT_ASSERT(answer && answer->status == 200);
         return json::parse(answer->body)["offset"].get<int>();
     }
