Let peer-bench poll slowly and start with a roster

Cause: polling all nodes every millisecond took their locks, and 150 nodes did not finish within 170 s.

--- a/tools/peer-bench/main.cpp
+++ b/tools/peer-bench/main.cpp
@@ -20,6 +20,8 @@
 using nlohmann::json;
 
 constexpr Duration kFormationLimit = std::chrono::seconds(90);
+// Asking all nodes for all peers takes their locks; more often would slow the formation down.
+constexpr Duration kFormationPoll = std::chrono::milliseconds(200);
 constexpr Duration kReachLimit = std::chrono::seconds(30);
 constexpr std::size_t kPublishedRecords = 20;
 
@@ -30,6 +32,7 @@
     std::size_t regions = 2;
     int seconds = 10;
     std::uint64_t seed = 1;
+    bool rosterFirst = false;
 };
 
 /// Processor time, memory and traffic of the whole process at one moment.
@@ -153,7 +156,10 @@
         result["error"] = std::string(status.message());
         return result;
     }
-    result["complete"] = waitFor([&] { return cluster.isComplete(); }, kFormationLimit);
+    if (options.rosterFirst)
+        cluster.setRoster();
+    result["complete"] =
+            waitFor([&] { return cluster.isComplete(); }, kFormationLimit, kFormationPoll);
     result["formationSeconds"] = std::chrono::duration<double>(SystemClock().now() - begin).count();
     cluster.setRoster();
     // The tables agree after a few heartbeats; what is measured then is the idle state.
@@ -199,6 +205,7 @@
                                   "seconds", line);
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed of the random choices", false, 1,
                                         "number", line);
+    TCLAP::SwitchArg rosterFirst("", "roster-first", "start with a known roster", line);
     line.parse(argc, argv);
     Options options;
     options.nodes = nodes.isSet() ? nodes.getValue() : std::vector<std::size_t>{ 18, 60, 150 };
@@ -207,6 +214,7 @@
     options.regions = std::max<std::size_t>(1, regions.getValue());
     options.seconds = std::clamp(duration.getValue(), 1, 600);
     options.seed = seed.getValue();
+    options.rosterFirst = rosterFirst.getValue();
     return options;
 }
 
--- a/tools/peer-bench/peercluster.cpp
+++ b/tools/peer-bench/peercluster.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-bool waitFor(const std::function<bool()> &condition, Duration limit)
+bool waitFor(const std::function<bool()> &condition, Duration limit, Duration period)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
         if (std::chrono::steady_clock::now() >= deadline)
             return false;
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        std::this_thread::sleep_for(period);
     }
     return true;
 }
--- a/tools/peer-bench/peercluster.h
+++ b/tools/peer-bench/peercluster.h
@@ -63,7 +63,8 @@
     std::vector<RosterMember> m_roster;
 };
 
-/// Polls \a condition every millisecond; false when \a limit has passed.
-bool waitFor(const std::function<bool()> &condition, Duration limit);
+/// Polls \a condition every \a period; false when \a limit has passed.
+bool waitFor(const std::function<bool()> &condition, Duration limit,
+             Duration period = std::chrono::milliseconds(1));
 
 } // namespace lycheebay
