Never answer not-run about a key that may have run

Cause: the lease, a bad deadline, a wrong region and a full instance refused a request before the table of keys was asked, and said not-run also about the repeat of an order that had run; its caller would order again with a new key. Change: a key is looked up before the lease; refusals that come earlier say unknown unless the key is certainly new. Verdicts are shared every 100 ms when they change, since a successor must know of targets that just turned cold. An instance is ready only after its cells' handover wait. Measured: repeatOfAKeyThatRanIsNeverToldNotRun and two cases of HttpFrontTest failed before (not-run in place of the stored response) and pass now. Conclusion: not-run holds for the key and not only for the attempt.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -245,7 +245,11 @@
         report.platform = m_board.platform.read();
         report.ready = report.leaseValid && !m_leaving && report.configuration->revision() > 0
                        && report.plan->findIncarnation(m_self.incarnation)
-                       && !report.configuration->estate()->data().services.empty();
+                       && !report.configuration->estate()->data().services.empty()
+                       && (m_settled || m_cells.isSettled());
+        // Later handovers do not make an instance unready: known targets are served during them.
+        if (report.ready)
+            m_settled = true;
         report.cells = m_cells.cells();
         report.peers = m_node.peers();
         report.openConnections = m_front.counters().openConnections;
@@ -298,6 +302,7 @@
     HttpFront m_front;
     TimerSubscription m_sweep;
     std::atomic<bool> m_leaving{ false };
+    mutable std::atomic<bool> m_settled{ false };
 };
 
 Daemon::Daemon(Settings settings)
--- a/src/entry/celldirectory.cpp
+++ b/src/entry/celldirectory.cpp
@@ -1,10 +1,12 @@
 #include "entry/celldirectory.h"
 
 #include "base/hash.h"
-#include "entry/internal/delayedworkers.h"
+
 #include "transport/loadheader.h"
 #include "transport/targetclient.h"
 
+#include <algorithm>
+
 namespace lycheebay {
 
 namespace {
@@ -13,6 +15,16 @@
 /// Verdicts are published and idle connections closed in every tenth period, once a second.
 constexpr int kRoundsPerSecond = 10;
 
+/// Compares without the time to the next trial, which changes all the time.
+bool sameState(std::vector<TargetVerdict> a, std::vector<TargetVerdict> b)
+{
+    for (auto *verdicts : { &a, &b }) {
+        for (TargetVerdict &verdict : *verdicts)
+            verdict.nextTrialIn = {};
+    }
+    return a == b;
+}
+
 StringSet leavingIds(const PlatformView *view)
 {
     StringSet ids;
@@ -80,14 +92,23 @@
     return { map->cells.begin(), map->cells.end() };
 }
 
+bool CellDirectory::isSettled() const
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    return std::all_of(m_records.begin(), m_records.end(), [&](const auto &it) {
+        return it.second.role != DispatchRole::Owner || now >= it.second.coldAllowedFrom;
+    });
+}
+
 void CellDirectory::onTimer()
 {
     refresh();
     startProbes();
-    if (++m_timerRounds % kRoundsPerSecond != 0)
-        return;
+    // Every round: a successor must know which targets turned cold shortly before it took over.
     publishVerdicts();
-    m_client.closeIdle();
+    if (++m_timerRounds % kRoundsPerSecond == 0)
+        m_client.closeIdle();
 }
 
 void CellDirectory::refresh()
@@ -155,7 +176,8 @@
     const bool hadCell = record.role.has_value();
     record.role = role;
     // Any earlier owner, even an earlier incarnation of this instance, may still send.
-    record.cell->setRole(role, m_clock.now() + m_settings.handoverWait);
+    record.coldAllowedFrom = m_clock.now() + m_settings.handoverWait;
+    record.cell->setRole(role, record.coldAllowedFrom);
     if (owns && hadCell)
         record.cell->adoptVerdicts(m_sharing.latestVerdicts(service, m_settings.self.region));
 }
@@ -190,7 +212,7 @@
         if (record.role != DispatchRole::Owner)
             continue;
         std::vector<TargetVerdict> verdicts = record.cell->verdicts();
-        if (verdicts == record.published)
+        if (sameState(verdicts, record.published))
             continue;
         m_sharing.publishVerdicts({ service, m_settings.self.region, verdicts });
         record.published = std::move(verdicts);
--- a/src/entry/celldirectory.h
+++ b/src/entry/celldirectory.h
@@ -34,6 +34,10 @@
     std::shared_ptr<Cell> find(std::string_view service) const;
     std::map<std::string, std::shared_ptr<Cell>> cells() const;
 
+    /// Tells whether every cell that this instance owns is past its handover wait, so that it also
+    /// serves targets that nobody knows yet.
+    bool isSettled() const;
+
     /// Brings the cells in step with the blackboard; start() does it on changes and every 100 ms,
     /// because planned stops begin without a change.
     void refresh();
@@ -44,6 +48,7 @@
         std::shared_ptr<Cell> cell;
         std::vector<TargetSpec> targets;
         std::optional<DispatchRole> role;
+        TimePoint coldAllowedFrom;
         std::vector<TargetVerdict> published;
     };
     /// Lets callbacks that outlive the directory find that it is gone.
@@ -75,7 +80,7 @@
     IPeerSharing &m_sharing;
     TargetClient &m_client;
     Topic<CellMap> m_cells;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::map<std::string, CellRecord> m_records;
     const std::shared_ptr<Link> m_link = std::make_shared<Link>();
     int m_timerRounds = 0;
--- a/src/entry/internal/keyregister.cpp
+++ b/src/entry/internal/keyregister.cpp
@@ -35,6 +35,12 @@
     m_completed.notify_all();
 }
 
+bool KeyRegister::isCertainlyNew(const IdempotencyKey &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.isCertainlyNew(key, m_clock.now());
+}
+
 std::size_t KeyRegister::entryCount() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/internal/keyregister.h
+++ b/src/entry/internal/keyregister.h
@@ -20,6 +20,9 @@
     /// Precondition: begin() returned Run.
     void complete(const IdempotencyKey &key, const Outcome &outcome);
 
+    /// As OutcomeTable::isCertainlyNew().
+    bool isCertainlyNew(const IdempotencyKey &key) const;
+
     std::size_t entryCount() const;
     std::size_t byteCount() const;
 
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -46,7 +46,7 @@
         if (const auto *refusal = std::get_if<Refusal>(&built)) {
             ++(refusal->status == kOutsideHomeRegions ? m_counters.outsideHomeRegions
                                                       : m_counters.notRun);
-            return problemResponse("not-run", *refusal);
+            return problemResponse(mayHaveRunBefore(request) ? "unknown" : "not-run", *refusal);
         }
         RequestContext &context = std::get<RequestContext>(built);
         const Outcome outcome = decide(context);
@@ -65,10 +65,8 @@
 private:
     Outcome decide(RequestContext &context)
     {
-        if (!m_lease.isValid(m_clock.now())) {
-            ++m_counters.unattested;
-            return NotRun{ unattestedRefusal() };
-        }
+        // A known key is answered from the table whatever the lease says: a repeat is no new work,
+        // and "not run" about it would be false.
         if (!context.key)
             return execute(context);
         if (context.key->ticket.incarnation == m_settings.self.incarnation)
@@ -135,8 +133,23 @@
         return Unknown{ { 409, "the ticket is of another instance", {} } };
     }
 
+    /// A repeat of a key that ran must not be told "not run", whatever refuses it before the table
+    /// is asked.
+    bool mayHaveRunBefore(const HttpRequest &request) const
+    {
+        const std::string *text = findHeader(request.headers, kKeyHeader);
+        if (!text)
+            return false;
+        const auto key = parseIdempotencyKey(*text);
+        return key.ok() && !m_keys.isCertainlyNew(*key);
+    }
+
     Outcome execute(RequestContext &context)
     {
+        if (!m_lease.isValid(m_clock.now())) {
+            ++m_counters.unattested;
+            return NotRun{ unattestedRefusal() };
+        }
         Outcome outcome = route(context);
         if (context.mayHaveRun && std::holds_alternative<NotRun>(outcome))
             return Unknown{ { 502, "another entry's response was lost", {} } };
--- a/src/entry/tests/requesthandlertest.cpp
+++ b/src/entry/tests/requesthandlertest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(lostOrderIsNeverSentAgain);
     CPPUNIT_TEST(refusedConnectionIsTriedElsewhere);
     CPPUNIT_TEST(nothingIsSentWithoutALease);
+    CPPUNIT_TEST(repeatOfAKeyThatRanIsNeverToldNotRun);
     CPPUNIT_TEST(noSpellingLeavesTheHomeRegions);
     CPPUNIT_TEST(badInputIsNotRun);
     CPPUNIT_TEST(dispatcherIsAskedOnceThenServedHere);
@@ -131,6 +132,32 @@
         CPPUNIT_ASSERT(m_handler->idle());
     }
 
+    // Guards against a caller that takes "not run" about its repeat for a statement about its
+    // order, and orders again with a new key.
+    void repeatOfAKeyThatRanIsNeverToldNotRun()
+    {
+        const RawServer target({ reply("first") });
+        addTarget(target.address());
+        start();
+        const std::string key = newKey();
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), order(key).body);
+        m_lease.valid = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), order(key).body);
+        m_lease.valid = true;
+        const HttpResponse badDeadline =
+                send("POST", "/services/s/orders",
+                     { { kKeyHeader, key }, { kDeadlineHeader, "soon" } }, "order");
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(badDeadline));
+        const HttpResponse abroad =
+                send("POST", "/services/s/orders",
+                     { { kKeyHeader, key }, { kTenantHeader, "abroad" } }, "order");
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(abroad));
+        const HttpResponse fresh =
+                send("POST", "/services/s/orders",
+                     { { kKeyHeader, newKey() }, { kDeadlineHeader, "soon" } }, "order");
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(fresh));
+    }
+
     // Guards against a second run of an order, and against a response to another body.
     void orderRunsOnceAndIsReplayed()
     {
--- a/src/outcomes/outcometable.cpp
+++ b/src/outcomes/outcometable.cpp
@@ -113,6 +113,12 @@
     return { KeyState::Run, nullptr };
 }
 
+bool OutcomeTable::isCertainlyNew(const IdempotencyKey &key, TimePoint now) const
+{
+    return key.ticket.incarnation == m_incarnation && now - key.ticket.issuedAt < m_limits.retention
+           && !m_entries.contains(key.text);
+}
+
 void OutcomeTable::completeDone(std::string_view key, std::shared_ptr<const HttpResponse> response)
 {
     Entry *entry = running(key);
--- a/src/outcomes/outcometable.h
+++ b/src/outcomes/outcometable.h
@@ -69,6 +69,10 @@
 
     KeyDecision begin(const IdempotencyKey &key, const RequestIdentity &identity, TimePoint now);
 
+    /// Tells whether the key certainly did not run: this incarnation issued its ticket, its entry
+    /// would still be held, and there is none.
+    bool isCertainlyNew(const IdempotencyKey &key, TimePoint now) const;
+
     /// Precondition of the three: begin() returned Run for \a key and none of them was called
     /// since.
     void completeDone(std::string_view key, std::shared_ptr<const HttpResponse> response);
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include "transport/internal/callerconnection.h"
 
 #include "base/log.h"
+#include "transport/loadheader.h"
 #include "transport/problem.h"
 
 #include <fmt/format.h>
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds kDrainTime{ 50 };
 constexpr std::size_t kDrainBytes = 64u << 10;
 constexpr std::chrono::seconds kRefusedRetryAfter{ 1 };
+/// Time in which the head of a refused request is read.
+constexpr std::chrono::milliseconds kRefusedReadTime{ 100 };
 
 TimePoint after(Duration duration)
 {
@@ -75,11 +78,30 @@
 
 void CallerConnection::refuse()
 {
+    m_stream.setDeadline(after(kRefusedReadTime));
+    m_stream.setReadLimit(m_settings.maxHeadBytes);
+    while (m_stream.buffered().find(kHeadEnd) == std::string_view::npos && m_stream.fill()) {}
     const Refusal refusal{ 503, "too many connections to this instance", kRefusedRetryAfter };
-    respond(m_stream, problemResponse("not-run", refusal), "", false);
+    // A timed-out stream sends nothing more, so the answer takes a new one.
+    DeadlineStream stream(m_socket);
+    respond(stream, problemResponse(unhandledOutcome(), refusal), "", false);
     drain();
 }
 
+/// Outcome of a request that is refused before the table of keys is asked: a key may belong to the
+/// repeat of a request that ran.
+const char *CallerConnection::unhandledOutcome() const
+{
+    const std::string_view input = m_stream.buffered();
+    const auto end = input.find(kHeadEnd);
+    if (end == std::string_view::npos)
+        return "unknown";
+    const auto parsed =
+            parseRequestHead(input.substr(0, end + kHeadEnd.size()), headLimits(m_settings));
+    const auto *head = std::get_if<RequestHead>(&parsed);
+    return head && findHeader(head->request.headers, kKeyHeader) ? "unknown" : "not-run";
+}
+
 bool CallerConnection::isGone() const
 {
     pollfd polled{ m_socket, POLLRDHUP, 0 };
@@ -126,7 +148,7 @@
         if (m_stream.fill())
             continue;
         if (m_stream.state() == StreamState::TimedOut)
-            reject(408, "the request's head took too long");
+            reject(408, "the request's head took too long", "unknown");
         return false;
     }
 }
@@ -142,8 +164,10 @@
     while (m_stream.buffered().size() < head.bodyBytes) {
         if (m_stream.fill())
             continue;
-        if (m_stream.state() == StreamState::TimedOut)
-            reject(408, "the request's body took too long");
+        if (m_stream.state() == StreamState::TimedOut) {
+            const bool hasKey = findHeader(head.request.headers, kKeyHeader);
+            reject(408, "the request's body took too long", hasKey ? "unknown" : "not-run");
+        }
         return false;
     }
     body = m_stream.buffered().substr(0, head.bodyBytes);
@@ -164,12 +188,12 @@
     return problemResponse("unknown", { 500, "internal error", {} });
 }
 
-void CallerConnection::reject(int status, std::string reason)
+void CallerConnection::reject(int status, std::string reason, const char *outcome)
 {
     ++m_counters.badRequests;
     // A timed-out stream sends nothing more, so the answer takes a new one.
     DeadlineStream stream(m_socket);
-    respond(stream, problemResponse("not-run", { status, std::move(reason), {} }), "", false);
+    respond(stream, problemResponse(outcome, { status, std::move(reason), {} }), "", false);
     drain();
 }
 
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -14,7 +14,7 @@
                      const Cancellation &stopping, HttpFrontCounters &counters);
 
     void serve();
-    /// Answers without reading a request that there are too many connections.
+    /// Answers that there are too many connections, without handling a request.
     void refuse();
 
     bool isGone() const override;
@@ -24,7 +24,8 @@
     bool readHead(std::size_t &headBytes);
     bool readBody(const RequestHead &head, std::string &body);
     HttpResponse handle(const HttpRequest &request);
-    void reject(int status, std::string reason);
+    void reject(int status, std::string reason, const char *outcome = "not-run");
+    const char *unhandledOutcome() const;
     bool respond(DeadlineStream &stream, const HttpResponse &response, std::string_view method,
                  bool keepAlive);
     void drain();
--- a/src/transport/tests/httpfronttest.cpp
+++ b/src/transport/tests/httpfronttest.cpp
@@ -123,6 +123,11 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), refused.substr(0, 12));
         CPPUNIT_ASSERT(refused.find("\"not-run\"") != std::string::npos);
         CPPUNIT_ASSERT(refused.find("Connection: close") != std::string::npos);
+        // The repeat of an order that ran must not be told "not run".
+        const std::string repeat = "POST / HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+                                   "Content-Length: 0\r\n\r\n";
+        CPPUNIT_ASSERT(answerTo(repeat).find("\"unknown\"") != std::string::npos);
+        CPPUNIT_ASSERT(answerTo("").find("\"unknown\"") != std::string::npos);
         first.reset();
         CPPUNIT_ASSERT(eventually([&] { return m_front->counters().openConnections == 1; }));
         const RawClient third(m_front->port());
@@ -138,6 +143,11 @@
         CPPUNIT_ASSERT(answerTo("GET / HT").starts_with("HTTP/1.1 408"));
         CPPUNIT_ASSERT(answerTo("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
                                .starts_with("HTTP/1.1 408"));
+        CPPUNIT_ASSERT(answerTo("GET / HT").find("\"unknown\"") != std::string::npos);
+        CPPUNIT_ASSERT(answerTo("PUT / HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+                                "Content-Length: 9\r\n\r\nabc")
+                               .find("\"unknown\"")
+                       != std::string::npos);
     }
 
     // Guards against a fault in one request that ends the process.
