--- a/src/entry/celldirectory.cpp
+++ b/src/entry/celldirectory.cpp
@@ -1,6 +1,7 @@
 #include "entry/celldirectory.h"
 
 #include "base/hash.h"
+#include "entry/internal/delayedworkers.h"
 
 #include "transport/loadheader.h"
 #include "transport/targetclient.h"
