--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -147,7 +147,7 @@
   UNDO_SECOND=true
 }
 
-revision_of() { http_get "$1/admin/v1/revision"; }
+revision_of() { http_get "$1/admin/v1/revision" | cut -d' ' -f1; }
 
 same_revision() {
   local address revision first=
@@ -158,13 +158,13 @@
 }
 
 # Prints "reverted" when an incarnation reports a lower revision than before. The answer of
-# /admin/v1/revision is "<incarnation> <revision>".
+# /admin/v1/revision is "<revision> <incarnation> <next offset>".
 watch_revisions() {
   declare -A newest
   local address incarnation revision
   while true; do
     for address in "${ENTRIES[@]}"; do
-      read -r revision incarnation < <(http_get "$address/admin/v1/revision?incarnation=1") || continue
+      read -r revision incarnation _ < <(http_get "$address/admin/v1/revision") || continue
       if [ "$revision" -lt "${newest[$incarnation]:-0}" ]; then
         echo "reverted $address from ${newest[$incarnation]} to $revision"
       fi
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -28,8 +28,8 @@
 
 init_estate "$build" "$estate" "$seed"
 echo "soak: estate $estate, seed $seed, $duration s"
-ENTRY_EXTRA_FLAGS=(--fatal-invariants true --log-level WARN --ticket-life-ms 20000
-                   --leave-timeout-ms 25000)
+ENTRY_EXTRA_FLAGS=(--fatal-invariants true --log-level WARN --ticket-life-ms 8000
+                   --leave-timeout-ms 12000)
 start_estate "$ENTRY_COUNT" "${ENTRY_EXTRA_FLAGS[@]}"
 control_target '*' "{\"crashOnMarker\":\"$CRASH_MARKER\"}"
 
