--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -130,19 +130,25 @@
   UNDO_FIRST=true
   UNDO_SECOND=true
   while [ $((SECONDS + 4)) -lt "$end" ]; do
-    "fault_$(random_item "${FAULT_KINDS[@]}")"
+    FAULT_UNDO=true
+    "fault_$(random_item "${FAULT_KINDS[@]}")" || echo "soak: fault failed: $FAULT_NAME"
     FAULT_COUNT=$((FAULT_COUNT + 1))
     echo "soak: $SECONDS s, $FAULT_NAME"
     sleep $((RANDOM % 4 + 1))
-    $UNDO_FIRST
+    undo "$UNDO_FIRST"
     UNDO_FIRST=$UNDO_SECOND
     UNDO_SECOND=$FAULT_UNDO
   done
 }
 
+# undo COMMAND: ends a fault; the run goes on when that fails.
+undo() { $1 || echo "soak: could not undo: $1"; }
+
 end_all_faults() {
-  $UNDO_FIRST
-  $UNDO_SECOND
+  # Changes cannot be published before the platform is back.
+  http_put "$PLATFORM/faults" '{"down":false,"slowMs":0,"loseAnswers":0,"listLagMs":1000}'
+  undo "$UNDO_FIRST"
+  undo "$UNDO_SECOND"
   UNDO_FIRST=true
   UNDO_SECOND=true
 }
