--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -112,7 +112,7 @@
   local id=$RANDOM-$FAULT_COUNT before entry
   before=$(crash_count)
   for entry in "${ENTRIES[@]}" "${ENTRIES[@]}"; do
-    curl -s -o /dev/null --max-time 2 "http://$entry/services/${SERVICES[0]}/items?q=$CRASH_MARKER-$id" || true
+    curl -s -o /dev/null --max-time 2 "http://$entry/services/${SERVICES[0]}/items/$CRASH_MARKER-$id" || true
   done
   local crashes=$(($(crash_count) - before))
   [ "$crashes" -le 2 ] || echo "crashes $crashes by $id" >>"$WORK_DIR/poison.log"
