Clarify doc comments of public headers

Cause: some comments named neither the precondition nor the effect that a newcomer needs, and one called a resumed process thawed.

Change: comments only, in base, estate, configuration, membership and outcomes.

Conclusion: no behaviour changes.

--- a/src/base/iclock.h
+++ b/src/base/iclock.h
@@ -5,7 +5,7 @@
 namespace lycheebay {
 
 using Duration = std::chrono::nanoseconds;
-/// Monotonic time; it goes on while the process is stopped, so a thawed process sees the gap.
+/// Monotonic time; it advances while the process is stopped, so a resumed process sees the gap.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 /// Wall-clock time in milliseconds since the Unix epoch.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
--- a/src/base/intrusiveptr.h
+++ b/src/base/intrusiveptr.h
@@ -6,7 +6,9 @@
 
 namespace lycheebay {
 
-/// Base of objects that carry their own reference count. The count is thread-safe.
+/// Base of objects that carry their own reference count. The count is thread-safe and starts at
+/// zero; the first IntrusivePtr takes the first reference. Create such objects with makeRef(),
+/// because the last release() deletes them.
 class RefCounted
 {
 public:
--- a/src/base/itimerservice.h
+++ b/src/base/itimerservice.h
@@ -17,7 +17,7 @@
 
 using TimerSubscription = std::unique_ptr<ITimerSubscription>;
 
-/// The timer service that parts subscribe to. Thread-safe. Callbacks run on the service's own
+/// The timer service that components subscribe to. Thread-safe. Callbacks run on the service's own
 /// thread and must not block.
 class ITimerService
 {
--- a/src/configuration/configurationfollower.h
+++ b/src/configuration/configurationfollower.h
@@ -25,11 +25,11 @@
     explicit ConfigurationFollower(Topic<ConfigurationState> &topic,
                                    std::size_t maxKeptBytes = kMaxKeptBytes);
 
-    /// For batches of peers: see IConfigurationFollower. When a peer's batch starts with a snapshot
-    /// that includes its own offset, the snapshot replaces the state if it is newer.
+    /// Takes a batch that a peer made with recordsFrom(). A snapshot at its start that includes its
+    /// own offset, as only a peer's does, replaces the state if it is newer.
     absl::Status offer(const LogBatch &batch) override;
 
-    /// For batches read from the log: every snapshot in it is an ordinary record. Errors as
+    /// Takes a batch read from the log, in which every snapshot is an ordinary record. Errors as
     /// offer(). Thread-safe.
     absl::Status offerLog(const LogBatch &batch);
 
--- a/src/configuration/configurationhistory.h
+++ b/src/configuration/configurationhistory.h
@@ -30,9 +30,11 @@
     std::map<std::string, Revision> objectRevisions;
     /// Accepted changes by operators, oldest first, bounded.
     std::vector<Revision> operatorChanges;
-    /// Newest change that fell out of operatorChanges.
+    /// Newest change that fell out of operatorChanges. A sheet based on an older revision is a
+    /// conflict, because it can no longer be told what it would overwrite.
     Revision forgottenOperatorChange = 0;
-    /// Newest removed object that fell out of objectRevisions.
+    /// Newest removed object that fell out of objectRevisions. A planned stop added against an
+    /// older revision is rejected, because its id may have been used and removed since.
     Revision forgottenObject = 0;
     Revision snapshotOffset = 0;
     /// Time of the last snapshot, or of the first record when there is none.
--- a/src/estate/estate.h
+++ b/src/estate/estate.h
@@ -9,7 +9,7 @@
 
 namespace lycheebay {
 
-/// The operators' picture of their services, targets and failure domains. Immutable, so every
+/// The operators' description of their services, targets and failure domains. Immutable, so every
 /// method is thread-safe. Returned pointers live as long as the estate.
 class Estate final : public RefCounted
 {
@@ -20,13 +20,13 @@
     const EstateData &data() const { return m_data; }
 
     bool hasService(std::string_view name) const;
-    /// Returns null for an unknown name.
+    // The next three return null for an unknown name.
     const Target *findTarget(std::string_view id) const;
     const FailureDomain *findFailureDomain(std::string_view name) const;
     const Tenant *findTenant(std::string_view name) const;
 
-    /// Returns the route with the longest matching prefix; an exact method goes before "*".
-    /// Null when none matches.
+    /// Returns the route with the longest matching prefix; among equal prefixes, an exact method
+    /// goes before "*". Null when none matches.
     const Route *findRoute(std::string_view service, std::string_view method,
                            std::string_view path) const;
 
--- a/src/estate/estatetypes.h
+++ b/src/estate/estatetypes.h
@@ -42,9 +42,11 @@
     std::string service;
     /// An HTTP method, or "*" for all.
     std::string method = "*";
+    /// Matches whole path segments: "/clubs" matches "/clubs/7" but not "/clubsrooms".
     std::string pathPrefix = "/";
     bool idempotent = true;
-    /// What one request counts under overload: a lookup 1, an order 2.
+    /// Priority when targets are busy: heavier requests leave the queue before lighter ones, which
+    /// still get a share, and are shed last. A lookup has 1, an order 2.
     int weight = 1;
     /// Regions that may serve and store the request; empty means all.
     std::vector<std::string> homeRegions;
@@ -52,7 +54,7 @@
     auto operator<=>(const Route &) const = default;
 };
 
-/// A tenant whose requests may be served and stored only in some regions.
+/// A tenant whose requests may be served and stored only in some regions; no region means all.
 struct Tenant
 {
     std::string name;
@@ -63,7 +65,8 @@
 
 enum class StopScope { Target, FailureDomain, Instance };
 
-/// A stop planned by an operator: the object gets no new work from before `start` until `end`.
+/// A stop planned by an operator. The object gets no new work until `end`, from so long before
+/// `start` that running requests can finish.
 struct PlannedStop
 {
     std::string id;
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -11,7 +11,11 @@
 
 namespace lycheebay {
 
-enum class MemberState { Alive, Suspected, Dead };
+enum class MemberState {
+    Alive,
+    Suspected, ///< a neighbour did not hear it for a while: it gets no cell
+    Dead       ///< silent for longer: it is removed from the roster
+};
 
 /// What instances tell each other about one member.
 struct MemberUpdate
--- a/src/outcomes/crashsuspects.h
+++ b/src/outcomes/crashsuspects.h
@@ -25,6 +25,7 @@
 struct SharedSuspect
 {
     Fingerprint fingerprint = 0;
+    /// Crashes counted; the request is refused from the second one on.
     int strikes = 0;
     /// Remaining time for which the suspect is refused or remembered.
     Duration remaining{};
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -40,6 +40,7 @@
     auto operator<=>(const HttpResponse &) const = default;
 };
 
+/// Compares without case.
 bool sameHeaderName(std::string_view a, std::string_view b);
 /// Returns the value of the first header of that name, or null. The pointer lives as long as
 /// \a headers are unchanged.
--- a/src/outcomes/outcome.h
+++ b/src/outcomes/outcome.h
@@ -24,6 +24,7 @@
 /// A target ran the request and its response is whole.
 struct Done
 {
+    /// Never null.
     std::shared_ptr<const HttpResponse> response;
 };
 
--- a/src/outcomes/outcometable.h
+++ b/src/outcomes/outcometable.h
@@ -34,6 +34,7 @@
     auto operator<=>(const RequestIdentity &) const = default;
 };
 
+/// Two requests with the same identity are taken for the same. Thread-safe.
 RequestIdentity identifyRequest(const HttpRequest &request, std::string_view tenant);
 
 enum class KeyState {
@@ -51,6 +52,7 @@
 struct KeyDecision
 {
     KeyState state = KeyState::Unknown;
+    /// Set only for Replay.
     std::shared_ptr<const HttpResponse> response;
 };
 
