--- a/tools/routing-bench/cellrun.h
+++ b/tools/routing-bench/cellrun.h
@@ -76,6 +76,8 @@
     void tick()
     {
         resolve(m_dispatcher.tick(m_now));
+        for (const TargetVerdict &verdict : m_dispatcher.verdicts(m_now))
+            m_result.ejectedTicks += verdict.ejected;
         if (m_now < m_workload.jobs.back().arrival || !m_open.empty())
             post(m_now + std::chrono::milliseconds(5), [this] { tick(); });
     }
--- a/tools/routing-bench/workload.h
+++ b/tools/routing-bench/workload.h
@@ -61,6 +61,8 @@
     std::size_t sheds = 0;
     std::size_t late = 0;
     std::size_t hedges = 0;
+    /// Ejected targets, summed over the ticks of the dispatcher.
+    std::size_t ejectedTicks = 0;
 
     void add(const Job &job, TimePoint end, Duration deadline);
     double quantile(double share) const;
