Send one queued request beyond the slots of a warm target

Cause: a slot idles for a round trip between two requests. At a load of 95% the idle time of 2% (one-way delay of 0.1 ms) uses up the remaining capacity, so the queue grows; this is also the cause of the high p99 with slowed targets at 95%. Change: while requests wait and after all acceptable free slots are taken, the owner sends one request more to each warm target at its full limit whose estimated latency is not above the harmonic mean of the cell. A target that shed a request in the last moments is left out. In flight at a warm target are at most slots + 1; cold targets and the fallback role keep their limits.

--- a/src/routing/internal/attempt.h
+++ b/src/routing/internal/attempt.h
@@ -7,6 +7,12 @@
 
 class TargetState;
 
+enum class AttemptKind {
+    Regular,
+    Trial,      ///< at an ejected target, to see whether it works again
+    BeyondSlots ///< waits at the target for the next slot that becomes free
+};
+
 /// One request sent to a target and not completed yet.
 struct Attempt
 {
--- a/src/routing/internal/cellcore.cpp
+++ b/src/routing/internal/cellcore.cpp
@@ -87,7 +87,7 @@
     TargetState *target = chooseFor(state);
     if (!target || target->isCold() || !m_hedgeBudget.tryTake())
         return std::nullopt;
-    return assign(state, *target, false, now);
+    return assign(state, *target, AttemptKind::Regular, now);
 }
 
 Duration CellCore::hedgeDelay() const
--- a/src/routing/internal/cellcore.h
+++ b/src/routing/internal/cellcore.h
@@ -42,13 +42,16 @@
     Decision enqueue(RequestState &request, TimePoint now);
     std::optional<Assignment> assignNow(RequestState &request, TimePoint now);
     TargetState *chooseFor(const RequestState &request);
-    Assignment assign(RequestState &request, TargetState &target, bool trial, TimePoint now);
-    void checkAssignment(const TargetState &target, bool trial, TimePoint now) const;
+    Assignment assign(RequestState &request, TargetState &target, AttemptKind kind, TimePoint now);
+    void checkAssignment(const TargetState &target, AttemptKind kind, TimePoint now) const;
 
     void refresh(TimePoint now);
     std::vector<Resolution> resolve(TimePoint now);
     void shedExpired(TimePoint now);
     void assignQueued(TimePoint now);
+    void assignBeyondSlots(TimePoint now);
+    void assignQueuedTo(RequestState &request, TargetState &target, AttemptKind kind,
+                        TimePoint now);
     void assignTrial(TimePoint now);
     RequestState *queuedFor(const TargetState &target) const;
     void shedQueued(RequestState &request, ShedReason reason, TimePoint now);
--- a/src/routing/internal/cellplacement.cpp
+++ b/src/routing/internal/cellplacement.cpp
@@ -33,7 +33,7 @@
     refresh(now);
     TargetState *trial = m_selector.trial();
     if (trial && maySpareTrial(request) && !TargetSelector::wasTried(request, *trial))
-        return assign(request, *trial, true, now);
+        return assign(request, *trial, AttemptKind::Trial, now);
     if (m_selector.inServiceCount() == 0)
         return placeWithoutTarget(request, now);
     const bool first = request.isHeavy() ? m_queue.heavyCount() == 0 : m_queue.empty();
@@ -61,7 +61,7 @@
     TargetState *target = chooseFor(request);
     if (!target)
         return std::nullopt;
-    return assign(request, *target, false, now);
+    return assign(request, *target, AttemptKind::Regular, now);
 }
 
 TargetState *CellCore::chooseFor(const RequestState &request)
@@ -97,18 +97,19 @@
     return Queued{};
 }
 
-Assignment CellCore::assign(RequestState &request, TargetState &target, bool trial, TimePoint now)
+Assignment CellCore::assign(RequestState &request, TargetState &target, AttemptKind kind,
+                            TimePoint now)
 {
-    checkAssignment(target, trial, now);
+    checkAssignment(target, kind, now);
     target.attemptStarted(now);
     request.tried.push_back(target.ordinal());
     ++request.inFlight;
     const AttemptId id = m_nextAttempt++;
-    m_attempts[id] = { request.id, &target, now, trial };
+    m_attempts[id] = { request.id, &target, now, kind == AttemptKind::Trial };
     return { request.id, id, target.spec().id, target.spec().address };
 }
 
-void CellCore::checkAssignment(const TargetState &target, bool trial, TimePoint now) const
+void CellCore::checkAssignment(const TargetState &target, AttemptKind kind, TimePoint now) const
 {
     const bool owner = m_rules.role == DispatchRole::Owner;
     const bool coldNow = owner && now >= m_rules.coldAllowedFrom;
@@ -119,10 +120,14 @@
                         "a fallback exceeds one request in flight at a target");
     LYCHEEBAY_INVARIANT(!target.isCold() || target.outstanding() < target.coldLimit(),
                         "a cold target exceeds its cold limit");
-    LYCHEEBAY_INVARIANT(!m_strategy->isBoundedBySlots()
-                                || target.outstanding() < target.spec().slots,
+    const bool bounded = m_strategy->isBoundedBySlots();
+    const bool beyond = kind == AttemptKind::BeyondSlots;
+    LYCHEEBAY_INVARIANT(!bounded || beyond || target.outstanding() < target.spec().slots,
                         "a target exceeds its slots");
-    LYCHEEBAY_INVARIANT(trial == target.ejection().isEjected(), "work for an ejected target");
+    LYCHEEBAY_INVARIANT(!beyond || TargetSelector::mayExceedSlots(target, m_rules, now),
+                        "a target that is not warm, or more than one request, exceeds the slots");
+    LYCHEEBAY_INVARIANT((kind == AttemptKind::Trial) == target.ejection().isEjected(),
+                        "work for an ejected target");
 }
 
 std::vector<Resolution> CellCore::resolve(TimePoint now)
@@ -132,6 +137,7 @@
         refresh(now);
         assignTrial(now);
         assignQueued(now);
+        assignBeyondSlots(now);
     }
     return std::exchange(m_pending, {});
 }
@@ -152,7 +158,7 @@
     if (!request || !maySpareTrial(*request))
         return;
     m_queue.remove(request);
-    m_pending.emplace_back(assign(*request, *trial, true, now));
+    m_pending.emplace_back(assign(*request, *trial, AttemptKind::Trial, now));
 }
 
 void CellCore::assignQueued(TimePoint now)
@@ -166,11 +172,8 @@
         const Duration queueDelay =
                 request ? now - request->queuedAt + m_selector.waitAt(m_queue.size()) : Duration{};
         const bool wanted = request && m_selector.isAcceptable(heap.front().latency, queueDelay);
-        if (wanted) {
-            m_queue.remove(request);
-            m_queue.recordStart(*request);
-            m_pending.emplace_back(assign(*request, target, false, now));
-        }
+        if (wanted)
+            assignQueuedTo(*request, target, AttemptKind::Regular, now);
         std::ranges::pop_heap(heap, isSlower);
         const bool bounded = m_strategy->isBoundedBySlots();
         if (wanted && TargetSelector::mayAssign(target, m_rules, bounded, now))
@@ -180,6 +183,29 @@
     }
 }
 
+// A slot idles for a round trip between two requests unless the next one waits at the target. One
+// request per target covers that; more would wait there while another target becomes free.
+void CellCore::assignBeyondSlots(TimePoint now)
+{
+    std::vector<Candidate> &full = m_selector.fullTargets();
+    std::ranges::sort(full, std::less<>{}, &Candidate::latency);
+    const double typical = m_selector.referenceLatency();
+    for (const Candidate &candidate : full) {
+        if (m_queue.empty() || candidate.latency > typical)
+            return;
+        if (RequestState *request = queuedFor(*candidate.target))
+            assignQueuedTo(*request, *candidate.target, AttemptKind::BeyondSlots, now);
+    }
+}
+
+void CellCore::assignQueuedTo(RequestState &request, TargetState &target, AttemptKind kind,
+                              TimePoint now)
+{
+    m_queue.remove(&request);
+    m_queue.recordStart(request);
+    m_pending.emplace_back(assign(request, target, kind, now));
+}
+
 RequestState *CellCore::queuedFor(const TargetState &target) const
 {
     RequestState *request = m_queue.front();
--- a/src/routing/internal/istrategy.h
+++ b/src/routing/internal/istrategy.h
@@ -27,7 +27,7 @@
 public:
     virtual ~IStrategy() = default;
 
-    /// True when a request may wait and a target never gets more attempts than slots.
+    /// True when a request may wait, and a target gets at most one attempt more than its slots.
     virtual bool isBoundedBySlots() const { return false; }
 
     /// Returns the index of the chosen candidate. Precondition: \a candidates is not empty.
--- a/src/routing/internal/targetselector.cpp
+++ b/src/routing/internal/targetselector.cpp
@@ -25,6 +25,7 @@
                              TimePoint now)
 {
     m_candidates.clear();
+    m_fullTargets.clear();
     m_trial = nullptr;
     m_inService = 0;
     m_waitingForCold = 0;
@@ -55,9 +56,13 @@
     const double latency = target.estimatedSeconds(prior, now);
     ++m_inService;
     m_inverseSum += 1 / latency;
-    m_rate += std::max(1, target.usableLimit(now)) / latency;
+    // An attempt beyond the slots lengthens the latency, so it counts for the rate too.
+    const int running = target.isCold() ? 0 : target.outstanding();
+    m_rate += std::max({ 1, target.usableLimit(now), running }) / latency;
     if (hasRoom(target, rules, boundedBySlots, now))
         m_candidates.push_back({ &target, position, latency });
+    else if (boundedBySlots && mayExceedSlots(target, rules, now))
+        m_fullTargets.push_back({ &target, position, latency });
 }
 
 bool TargetSelector::hasUntried(const RequestState &request) const
@@ -94,6 +99,18 @@
            && hasRoom(target, rules, boundedBySlots, now);
 }
 
+bool TargetSelector::mayExceedSlots(const TargetState &target, const RoleRules &rules,
+                                    TimePoint now)
+{
+    const int slots = target.spec().slots;
+    // A target that sheds what exceeds its slots would shed again.
+    if (target.hasShedRecently(now))
+        return false;
+    return rules.role == DispatchRole::Owner && target.isUsable() && target.isKnown()
+           && !target.isCold() && !target.ejection().isEjected() && target.usableLimit(now) == slots
+           && target.outstanding() == slots;
+}
+
 bool TargetSelector::wasTried(const RequestState &request, const TargetState &target)
 {
     return std::ranges::find(request.tried, target.ordinal()) != request.tried.end();
--- a/src/routing/internal/targetselector.h
+++ b/src/routing/internal/targetselector.h
@@ -28,6 +28,8 @@
 
     /// Targets with room, in list order.
     std::vector<Candidate> &candidates() { return m_candidates; }
+    /// Warm targets whose slots are all taken and that may get one request more, in list order.
+    std::vector<Candidate> &fullTargets() { return m_fullTargets; }
     /// An ejected target whose trial is due, or null.
     TargetState *trial() const { return m_trial; }
     /// Targets in service, with or without room.
@@ -48,6 +50,8 @@
     /// True when \a target may get one more attempt that is not a trial.
     static bool mayAssign(const TargetState &target, const RoleRules &rules, bool boundedBySlots,
                           TimePoint now);
+    /// True when \a target may get one attempt beyond its slots, which waits there.
+    static bool mayExceedSlots(const TargetState &target, const RoleRules &rules, TimePoint now);
     static bool wasTried(const RequestState &request, const TargetState &target);
 
 private:
@@ -57,6 +61,7 @@
 
     const TargetTable &m_targets;
     std::vector<Candidate> m_candidates;
+    std::vector<Candidate> m_fullTargets;
     TargetState *m_trial = nullptr;
     std::size_t m_inService = 0;
     std::size_t m_waitingForCold = 0;
--- a/src/routing/tests/celldispatchertest.cpp
+++ b/src/routing/tests/celldispatchertest.cpp
@@ -11,6 +11,9 @@
     CPPUNIT_TEST_SUITE(CellDispatcherTest);
     CPPUNIT_TEST(strategyNamesAreParsedBack);
     CPPUNIT_TEST(queuesBeyondTheSlotsAndServesHeavyFirst);
+    CPPUNIT_TEST(oneQueuedRequestWaitsAtAWarmTarget);
+    CPPUNIT_TEST(shedBeyondTheSlotsIsNotRepeatedAtOnce);
+    CPPUNIT_TEST(coldTargetAndFallbackGetNothingBeyondTheLimit);
     CPPUNIT_TEST(lightRequestsDoNotStarve);
     CPPUNIT_TEST(shedsWhatWouldBeLate);
     CPPUNIT_TEST(shedsQueuedRequestAtItsDeadline);
@@ -47,6 +50,55 @@
         CPPUNIT_ASSERT_EQUAL(RequestId{ 3 }, std::get<Assignment>(next[0]).request);
     }
 
+    // Guards against slots that idle for a round trip, and against more than one request that
+    // waits at a target while another target becomes free.
+    void oneQueuedRequestWaitsAtAWarmTarget()
+    {
+        DispatcherFixture cell(2, 2);
+        cell.warmUp();
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(std::holds_alternative<Assignment>(cell.submit()));
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT(std::holds_alternative<Queued>(cell.submit()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, cell.dispatcher.tick(cell.now).size());
+        CPPUNIT_ASSERT_EQUAL(3, cell.status("t0").outstanding);
+        CPPUNIT_ASSERT_EQUAL(3, cell.status("t1").outstanding);
+        CPPUNIT_ASSERT(cell.dispatcher.tick(cell.now).empty());
+    }
+
+    // Guards against repeated sheds by a target that accepts no more than its slots.
+    void shedBeyondTheSlotsIsNotRepeatedAtOnce()
+    {
+        DispatcherFixture cell(1, 2);
+        cell.warmUp();
+        for (int i = 0; i < 6; ++i)
+            cell.submit();
+        const auto beyond = cell.dispatcher.tick(cell.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, beyond.size());
+        const auto sent = std::get<Assignment>(beyond[0]);
+        CPPUNIT_ASSERT(cell.end(sent, AttemptOutcome::Shed, 1ms).empty());
+        CPPUNIT_ASSERT(cell.dispatcher.tick(cell.now + 40ms).empty());
+        CPPUNIT_ASSERT_EQUAL(2, cell.status("t0").outstanding);
+        CPPUNIT_ASSERT(!cell.status("t0").ejected);
+    }
+
+    // Guards against extra load on targets that start, and from an entry that is not the owner.
+    void coldTargetAndFallbackGetNothingBeyondTheLimit()
+    {
+        DispatcherFixture cold(1, 1);
+        cold.submit();
+        cold.submit();
+        CPPUNIT_ASSERT(cold.dispatcher.tick(cold.now).empty());
+        CPPUNIT_ASSERT_EQUAL(1, cold.status("t0").outstanding);
+        DispatcherFixture fallback(1, 1);
+        fallback.warmUp();
+        fallback.dispatcher.setRole(DispatchRole::Fallback, fallback.now, fallback.now);
+        fallback.submit();
+        fallback.submit();
+        CPPUNIT_ASSERT(fallback.dispatcher.tick(fallback.now).empty());
+        CPPUNIT_ASSERT_EQUAL(1, fallback.status("t0").outstanding);
+    }
+
     // Guards against a stream of orders that keeps every lookup waiting for ever.
     void lightRequestsDoNotStarve()
     {
