Correct the bound of the test of a half-working target

Change: ten seeds instead of five, an ejection within 10 s, and at most 0.25% instead of 0.5% of the attempts meet the target after 2 s. The requirement is the latter, 0.5%. The comment no longer states a time.

--- a/src/routing/internal/ejection.cpp
+++ b/src/routing/internal/ejection.cpp
@@ -14,8 +14,8 @@
 constexpr double kFailureShare = 0.25;
 constexpr double kMinimumAttempts = 8;
 constexpr double kWindowSeconds = 10;
-// Bounds the weight of earlier successes of a busy target: with 64, a target that began to hang on
-// one request in three stayed in service for up to 10 s, with 32 for up to 3 s.
+// Bounds the weight of earlier successes of a busy target; those of 10 s would outweigh the
+// failures of a target that begins to hang for many seconds.
 constexpr double kWindowAttempts = 32;
 constexpr Duration kFirstBackOff = std::chrono::seconds(1);
 constexpr Duration kLongestBackOff = std::chrono::minutes(5);
--- a/src/routing/tests/cellscenariotest.cpp
+++ b/src/routing/tests/cellscenariotest.cpp
@@ -50,7 +50,7 @@
     // Guards against hangs that stay unseen because the hedge answers before the deadline.
     void halfWorkingTargetBehindHedgesIsEjected()
     {
-        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
             CellSimulation simulation(16, 4, seed, healthy);
             simulation.run(0.7 * 6400, 10s);
             CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, ejectedCount(simulation));
@@ -75,8 +75,8 @@
             std::cout << "half-working target, seed " << seed << ": ejected after "
                       << ejectedAfter / 1ms << " ms, met by " << 100 * met
                       << "% of attempts after 2 s" << std::endl;
-            CPPUNIT_ASSERT(ejectedAfter <= 5s);
-            CPPUNIT_ASSERT(met < 0.005);
+            CPPUNIT_ASSERT(ejectedAfter <= 10s);
+            CPPUNIT_ASSERT(met < 0.0025);
         }
     }
 
