Compare with the arithmetic mean before exceeding the slots

Change: a warm target may exceed its slots by one request if its estimated latency is not above the arithmetic mean of the targets in service.

--- a/src/routing/internal/cellplacement.cpp
+++ b/src/routing/internal/cellplacement.cpp
@@ -189,7 +189,7 @@
 {
     std::vector<Candidate> &full = m_selector.fullTargets();
     std::ranges::sort(full, std::less<>{}, &Candidate::latency);
-    const double typical = m_selector.referenceLatency();
+    const double typical = m_selector.meanLatency();
     for (const Candidate &candidate : full) {
         if (m_queue.empty() || candidate.latency > typical)
             return;
--- a/src/routing/internal/targetselector.cpp
+++ b/src/routing/internal/targetselector.cpp
@@ -29,6 +29,7 @@
     m_trial = nullptr;
     m_inService = 0;
     m_waitingForCold = 0;
+    m_latencySum = 0;
     m_inverseSum = 0;
     m_rate = 0;
     const auto listed = m_targets.listed();
@@ -55,6 +56,7 @@
     TargetState &target = *m_targets.listed()[position];
     const double latency = target.estimatedSeconds(prior, now);
     ++m_inService;
+    m_latencySum += latency;
     m_inverseSum += 1 / latency;
     // An attempt beyond the slots lengthens the latency, so it counts for the rate too.
     const int running = target.isCold() ? 0 : target.outstanding();
@@ -79,6 +81,11 @@
     return m_inService == 0 ? 0 : static_cast<double>(m_inService) / m_inverseSum;
 }
 
+double TargetSelector::meanLatency() const
+{
+    return m_inService == 0 ? 0 : m_latencySum / static_cast<double>(m_inService);
+}
+
 bool TargetSelector::isAcceptable(double latency, Duration waited) const
 {
     return latency <= kAvoidFactor * referenceLatency() + toSeconds(waited);
--- a/src/routing/internal/targetselector.h
+++ b/src/routing/internal/targetselector.h
@@ -42,6 +42,8 @@
     /// Harmonic mean of the estimated latencies: a few slow targets hardly move it, a slowdown of
     /// the whole cell does. In seconds; zero when nothing is in service.
     double referenceLatency() const;
+    /// Arithmetic mean of the estimated latencies of the targets in service. In seconds.
+    double meanLatency() const;
     /// True when sending to a target with this estimate is better than waiting for another one.
     bool isAcceptable(double latency, Duration waited) const;
     /// Estimated time until the request at \a position of the queue starts.
@@ -65,6 +67,7 @@
     TargetState *m_trial = nullptr;
     std::size_t m_inService = 0;
     std::size_t m_waitingForCold = 0;
+    double m_latencySum = 0;
     double m_inverseSum = 0;
     double m_rate = 0;
 };
