--- a/src/routing/internal/targetselector.h
+++ b/src/routing/internal/targetselector.h
@@ -28,6 +28,8 @@
 
     /// Targets with room, in list order.
     std::vector<Candidate> &candidates() { return m_candidates; }
+    /// Warm targets whose slots are all taken and that may get one request more, in list order.
+    std::vector<Candidate> &fullTargets() { return m_fullTargets; }
     /// An ejected target whose trial is due, or null.
     TargetState *trial() const { return m_trial; }
     /// Targets in service, with or without room.
@@ -40,6 +42,8 @@
     /// Harmonic mean of the estimated latencies: a few slow targets hardly move it, a slowdown of
     /// the whole cell does. In seconds; zero when nothing is in service.
     double referenceLatency() const;
+    /// Arithmetic mean of the estimated latencies of the targets in service. In seconds.
+    double meanLatency() const;
     /// True when sending to a target with this estimate is better than waiting for another one.
     bool isAcceptable(double latency, Duration waited) const;
     /// Estimated time until the request at \a position of the queue starts.
@@ -48,6 +52,8 @@
     /// True when \a target may get one more attempt that is not a trial.
     static bool mayAssign(const TargetState &target, const RoleRules &rules, bool boundedBySlots,
                           TimePoint now);
+    /// True when \a target may get one attempt beyond its slots, which waits there.
+    static bool mayExceedSlots(const TargetState &target, const RoleRules &rules, TimePoint now);
     static bool wasTried(const RequestState &request, const TargetState &target);
 
 private:
@@ -57,9 +63,11 @@
 
     const TargetTable &m_targets;
     std::vector<Candidate> m_candidates;
+    std::vector<Candidate> m_fullTargets;
     TargetState *m_trial = nullptr;
     std::size_t m_inService = 0;
     std::size_t m_waitingForCold = 0;
+    double m_latencySum = 0;
     double m_inverseSum = 0;
     double m_rate = 0;
 };
