--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@scripts/demo.sh --build $(BUILD) --estate $(ESTATE) --seed $(SEED)
 
 bench: build
-	@scripts/bench.sh --build $(BUILD) --bench $(BENCH) --seed $(SEED)
+	@scripts/bench.sh --build $(BUILD) --bench $(BENCH) --seed $(SEED) --estate $(ESTATE)
 
 soak: build
 	@scripts/soak.sh --build $(BUILD) --seed $(SEED) --duration-s $(DURATION_S)
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -170,11 +170,12 @@
 
 ctl() { "$BIN/lycheebayctl" --entry "${ENTRIES[1]}" "$@"; }
 
-# start_estate ENTRY_COUNT: the whole estate with its sheet published and every entry ready.
+# start_estate ENTRY_COUNT [ENTRY_FLAGS...]: the whole estate with its sheet published and every
+# entry ready.
 start_estate() {
   start_platform
   start_targets
-  start_entries "$1"
+  start_entries "$@"
   wait_until 30 "the sheet to be published" ctl sheet publish "$SHEET"
   wait_until 60 "every entry to be ready" every_entry /readyz
 }
--- a/standins/target/targetcounts.cpp
+++ b/standins/target/targetcounts.cpp
@@ -14,6 +14,7 @@
              { "notRun", counts.notRun },
              { "cancelled", counts.cancelled },
              { "probes", counts.probes },
+             { "loadQueries", counts.loadQueries },
              { "connections", counts.connections },
              { "connectionsRefused", counts.connectionsRefused },
              { "crashes", counts.crashes },
--- a/standins/target/targetcounts.h
+++ b/standins/target/targetcounts.h
@@ -15,6 +15,7 @@
     std::uint64_t notRun = 0;
     std::uint64_t cancelled = 0;
     std::uint64_t probes = 0;
+    std::uint64_t loadQueries = 0;
     std::uint64_t connections = 0;
     std::uint64_t connectionsRefused = 0;
     std::uint64_t crashes = 0;
--- a/standins/target/targetstandin.cpp
+++ b/standins/target/targetstandin.cpp
@@ -115,6 +115,7 @@
     Job job;
     job.connection = connection;
     if (request.path == "/load") {
+        ++m_counts.loadQueries;
         const json body = { { "inflight", reportedInFlight() },
                             { "slots", m_spec.slots },
                             { "phase", phaseName() },
