State the duration in the results of the tail bench

Cause: TAIL_DURATION_S shortens the runs and the result did not say so. Change: the result has durationSeconds. Nothing was measured with it yet. Conclusion: a shortened run is visible in its file.

--- a/scripts/bench/tail.sh
+++ b/scripts/bench/tail.sh
@@ -5,6 +5,7 @@
 
 STRATEGIES=(slot-queue round-robin random least-outstanding two-choices)
 LOADS=(50 70 85)
+# Shorter runs fit a busy day; the results state the time.
 DURATION_S=${TAIL_DURATION_S:-20}
 SLOW_FACTOR=5
 MIN_SLOW_MS=50
@@ -55,7 +56,7 @@
   start_load "$name" "$2" "$DURATION_S"
   wait "$LAST_PID"
   history_stats "{strategy: \"$1\", loadPercent: $2, ratePerSecond: $(rate_at "$2"),
-      serviceMs: $SERVICE_MS,
+      serviceMs: $SERVICE_MS, durationSeconds: $DURATION_S,
       entryCores: $(cores_since "$ticks" "$DURATION_S" "${ENTRY_PIDS[@]}")}
     + byKind" "$WORK_DIR/$name.jsonl" | write_result "$name"
 }
