--- a/scripts/bench/common.sh
+++ b/scripts/bench/common.sh
@@ -14,6 +14,8 @@
 BENCH=$(basename "$0" .sh)
 OUT=$1/bench
 mkdir -p "$OUT"
+# Keeps histories and logs apart from those that other scripts leave and clear in /tmp.
+export TMPDIR=$OUT
 
 # The copy of the sheet has loopback networks of its own, so that a demo or soak test can run on
 # the networks of the example at the same time.
