--- a/scripts/bench/cost.sh
+++ b/scripts/bench/cost.sh
@@ -63,5 +63,4 @@
   wait "${loads[@]}"
 )
 
-run 18
-run 9
+for count in ${COST_ENTRIES:-18 9}; do run "$count"; done
