--- a/scripts/bench/common.sh
+++ b/scripts/bench/common.sh
@@ -98,7 +98,7 @@
     --lookup "${SERVICES[2]}:/lists:$(region_slots "${SERVICES[2]}")" \
     --lookup "${SERVICES[1]}:/items:$((orders / 2))" \
     --order "${SERVICES[1]}:/sign-ups:$((orders / 2))" \
-    --service-times exponential --service-ms "$SERVICE_MS" --workers 256 \
+    --service-times exponential --service-ms "$SERVICE_MS" --workers "${WORKERS:-256}" \
     --rate "$rate" --requests "$requests" \
     --history "$WORK_DIR/$name.jsonl" --json "$WORK_DIR/$name.json" "$@"
 }
--- a/scripts/bench/tail.sh
+++ b/scripts/bench/tail.sh
@@ -3,8 +3,8 @@
 # and goodput of the default strategy in a short overload.
 . scripts/bench/common.sh
 
-STRATEGIES=(slot-queue round-robin random least-outstanding two-choices)
-LOADS=(50 70 85)
+read -ra STRATEGIES <<<"${TAIL_STRATEGIES:-slot-queue round-robin random least-outstanding two-choices}"
+read -ra LOADS <<<"${TAIL_LOADS:-50 70 85}"
 # Shorter runs fit a busy day; the results state the time.
 DURATION_S=${TAIL_DURATION_S:-20}
 SLOW_FACTOR=5
@@ -67,7 +67,7 @@
   start_load base "$BASE_PERCENT" "$((2 * AROUND_S + BURST_S))"
   base=$LAST_PID
   sleep "$AROUND_S"
-  start_load burst "$BURST_PERCENT" "$BURST_S" --workers 512
+  WORKERS=512 start_load burst "$BURST_PERCENT" "$BURST_S"
   burst=$LAST_PID
   wait "$base" "$burst"
   jq -c --argjson at "$AROUND_S" '.intendedUs += $at * 1000000 | .endUs += $at * 1000000' \
