--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -29,7 +29,7 @@
 init_estate "$build" "$estate" "$seed"
 echo "soak: estate $estate, seed $seed, $duration s"
 ENTRY_EXTRA_FLAGS=(--fatal-invariants true --log-level WARN --ticket-life-ms 8000
-                   --leave-timeout-ms 12000)
+                   --leave-timeout-ms 40000 --max-deadline-ms 10000)
 start_estate "$ENTRY_COUNT" "${ENTRY_EXTRA_FLAGS[@]}"
 control_target '*' "{\"crashOnMarker\":\"$CRASH_MARKER\"}"
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -145,7 +145,7 @@
             m_node.setConfiguration(state->roster(), state->nextOffset());
         });
         m_node.setSeeds(m_settings.peers);
-        if (const absl::Status status = m_node.start(m_timers); !status.ok())
+        if (absl::Status status = m_node.start(m_timers); !status.ok())
             return status;
         m_cells.start(m_timers);
         m_configuration.start([this](const PlatformView &view) { takeInstanceList(view); });
@@ -267,10 +267,17 @@
         addHttpMetrics(builder, m_front.counters());
         addPeerMetrics(builder, m_node.traffic());
         addCellMetrics(builder, m_cells);
-        const StatusReport report = status();
+        StatusReport report = status();
         builder.gauge("lycheebay_ready", "1 while this instance is ready.", report.ready);
         builder.gauge("lycheebay_lease_valid", "1 while the configuration is attested.",
-                      report.leaseValid);
+                      m_lease.isAttested(m_clock.now()));
+        builder.gauge("lycheebay_peers_alive", "Other entry instances that are alive.",
+                      static_cast<double>(std::count_if(report.peers.begin(), report.peers.end(),
+                                                        [](const PeerStatus &peer) {
+                                                            return peer.state == MemberState::Alive;
+                                                        })));
+        builder.gauge("lycheebay_crash_suspects", "Requests suspected of crashing targets.",
+                      static_cast<double>(report.crashSuspects));
         builder.gauge("lycheebay_configuration_revision", "Offset of the last accepted change.",
                       static_cast<double>(report.configuration->revision()));
         builder.gauge("lycheebay_outcome_entries", "Idempotency keys held.",
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -95,6 +95,11 @@
         request.faults.emplace_back("--listen and --peer-listen name the same address");
     if (settings.addressTtl > settings.ticketLife)
         request.faults.emplace_back("--address-ttl-ms is longer than --ticket-life-ms");
+    if (settings.leaveTimeout < settings.ticketLife + settings.maxDeadline) {
+        request.faults.emplace_back("--leave-timeout-ms is shorter than --ticket-life-ms and "
+                                    "--max-deadline-ms together, so "
+                                    "a stop could cut requests");
+    }
     if (settings.outcomeRetention < settings.maxDeadline)
         request.faults.emplace_back("--outcome-retention-ms is shorter than --max-deadline-ms");
 }
--- a/src/daemon/settingspecs.cpp
+++ b/src/daemon/settingspecs.cpp
@@ -183,7 +183,7 @@
     SettingSpec{ "platform-timeout-ms", "Longest wait for the platform", "50 to 10000", "1000",
                  false, storeMilliseconds<&S::platformTimeout, 50, 10000> },
     SettingSpec{ "leave-timeout-ms", "Longest wait for running requests and tickets at the end",
-                 "0 to 3600000", "35000", false, storeMilliseconds<&S::leaveTimeout, 0, 3600000> },
+                 "0 to 3600000", "95000", false, storeMilliseconds<&S::leaveTimeout, 0, 3600000> },
     SettingSpec{ "log-retention-ms", "Time for which the platform keeps log records",
                  "60000 to 2592000000", "86400000", false,
                  storeMilliseconds<&S::logRetention, 60000, 2592000000> },
--- a/src/entry/internal/addressservice.cpp
+++ b/src/entry/internal/addressservice.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/addressservice.h"
 
+#include "entry/internal/localrunner.h"
 #include "entry/internal/requestcontext.h"
 #include "transport/loadheader.h"
 #include "transport/problem.h"
@@ -48,11 +49,12 @@
 };
 
 AddressService::AddressService(const EntrySettings &settings, const IClock &clock,
-                               const Blackboard &board, TargetClient &client,
-                               EntryCounters &counters)
+                               const Blackboard &board, const IConfigurationLease &lease,
+                               TargetClient &client, EntryCounters &counters)
     : m_settings(settings)
     , m_clock(clock)
     , m_board(board)
+    , m_lease(lease)
     , m_client(client)
     , m_counters(counters)
     , m_tickets(settings.self.incarnation)
@@ -69,6 +71,9 @@
     ++m_counters.addressAnswers;
     if (request.method != "GET")
         return problemResponse("not-run", { 405, "only GET", {} });
+    // Callers must not be led to an instance that refuses their requests; another entry may answer.
+    if (!m_lease.isValid(m_clock.now()))
+        return problemResponse("not-run", unattestedRefusal());
     Question question;
     const Refusal refusal = parse(request, question);
     if (!refusal.reason.empty())
--- a/src/entry/internal/addressservice.h
+++ b/src/entry/internal/addressservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/iconfigurationlease.h"
 #include "entry/blackboard.h"
 #include "entry/entrycounters.h"
 #include "entry/entrysettings.h"
@@ -18,7 +19,7 @@
 {
 public:
     AddressService(const EntrySettings &settings, const IClock &clock, const Blackboard &board,
-                   TargetClient &client, EntryCounters &counters);
+                   const IConfigurationLease &lease, TargetClient &client, EntryCounters &counters);
 
     HttpResponse answer(const HttpRequest &request);
 
@@ -41,6 +42,7 @@
     const EntrySettings m_settings;
     const IClock &m_clock;
     const Blackboard &m_board;
+    const IConfigurationLease &m_lease;
     TargetClient &m_client;
     EntryCounters &m_counters;
     TicketIssuer m_tickets;
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -33,7 +33,7 @@
         , m_suspects(settings.suspects, clock, sharing, m_counters)
         , m_local(settings, clock, lease, client, cells, m_suspects, m_counters)
         , m_forwarder(settings, clock, lease, client, m_counters)
-        , m_addresses(settings, clock, board, client, m_counters)
+        , m_addresses(settings, clock, board, lease, client, m_counters)
     {}
 
     HttpResponse handle(const HttpRequest &request, const ICaller &caller)
--- a/src/outcomes/crashsuspects.cpp
+++ b/src/outcomes/crashsuspects.cpp
@@ -8,11 +8,14 @@
 
 /// From this number of strikes on, a request is refused.
 constexpr int kRefusedStrikes = 2;
+/// Popular requests are few; one that is pushed out is only protected less.
+constexpr std::size_t kSuccessSlots = 4096;
 
 } // namespace
 
 CrashSuspects::CrashSuspects(const SuspectLimits &limits)
     : m_limits(limits)
+    , m_successes(kSuccessSlots)
 {}
 
 Admission CrashSuspects::admit(Fingerprint fingerprint, TimePoint now)
@@ -39,6 +42,8 @@
                                     const std::vector<std::string> &homeRegions,
                                     TimePoint attemptBegan, TimePoint now)
 {
+    if (succeededLately(fingerprint, now))
+        return {};
     Suspect *suspect = find(fingerprint, now);
     if (suspect && attemptBegan < suspect->lastStrike)
         return {};
@@ -58,8 +63,16 @@
     return { fingerprint, suspect->strikes, remaining, homeRegions };
 }
 
-void CrashSuspects::succeed(Fingerprint fingerprint)
+bool CrashSuspects::succeededLately(Fingerprint fingerprint, TimePoint now) const
+{
+    const Success &success = m_successes[fingerprint % kSuccessSlots];
+    return success.fingerprint == fingerprint && success.at != TimePoint{}
+           && now - success.at < m_limits.successMemory;
+}
+
+void CrashSuspects::succeed(Fingerprint fingerprint, TimePoint now)
 {
+    m_successes[fingerprint % kSuccessSlots] = { fingerprint, now };
     const auto it = m_suspects.find(fingerprint);
     if (it != m_suspects.end())
         erase(it);
@@ -67,7 +80,8 @@
 
 void CrashSuspects::adopt(const SharedSuspect &shared, TimePoint now)
 {
-    if (shared.strikes <= 0 || shared.remaining <= Duration::zero())
+    if (shared.strikes <= 0 || shared.remaining <= Duration::zero()
+        || succeededLately(shared.fingerprint, now))
         return;
     Suspect *suspect = find(shared.fingerprint, now);
     if (!suspect)
--- a/src/outcomes/crashsuspects.h
+++ b/src/outcomes/crashsuspects.h
@@ -17,6 +17,8 @@
 {
     std::size_t maxSuspects = 10'000;
     Duration refusal = std::chrono::minutes(10);
+    /// A request that was answered within this time is not blamed for a lost connection.
+    Duration successMemory = std::chrono::seconds(10);
     /// A suspect without another crash is forgotten after this time.
     Duration memory = std::chrono::minutes(10);
 };
@@ -58,8 +60,10 @@
     /// domain fails. Returns the suspect for sharing when something changed, else strikes = 0.
     SharedSuspect strike(Fingerprint fingerprint, const std::vector<std::string> &homeRegions,
                          TimePoint attemptBegan, TimePoint now);
-    /// Records a response to the request, which clears it.
-    void succeed(Fingerprint fingerprint);
+    /// Records a response to the request, which clears it and protects it for a while: a request
+    /// that crashes its targets is never answered, but a popular one may lose a connection to each
+    /// target of a failure domain that fails.
+    void succeed(Fingerprint fingerprint, TimePoint now);
 
     /// Takes over a peer's suspect.
     void adopt(const SharedSuspect &suspect, TimePoint now);
@@ -79,6 +83,13 @@
     };
     using Suspects = std::unordered_map<Fingerprint, Suspect>;
 
+    struct Success
+    {
+        Fingerprint fingerprint = 0;
+        TimePoint at;
+    };
+
+    bool succeededLately(Fingerprint fingerprint, TimePoint now) const;
     Suspect *find(Fingerprint fingerprint, TimePoint now);
     Suspect &insert(Fingerprint fingerprint);
     void setExpiry(Fingerprint fingerprint, Suspect &suspect, TimePoint expiry);
@@ -86,6 +97,8 @@
 
     const SuspectLimits m_limits;
     Suspects m_suspects;
+    /// Recent successes by fingerprint; a newer one takes the place of an older one.
+    std::vector<Success> m_successes;
     std::multimap<TimePoint, Fingerprint> m_byExpiry;
 };
 
