--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	@scripts/bench.sh --build $(BUILD) --bench $(BENCH) --seed $(SEED) --estate $(ESTATE)
 
 soak: build
-	@scripts/soak.sh --build $(BUILD) --seed $(SEED) --duration-s $(DURATION_S)
+	@scripts/soak.sh --build $(BUILD) --estate $(ESTATE) --seed $(SEED) --duration-s $(DURATION_S)
 
 format:
 	@scripts/format.sh --fix
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -130,7 +130,9 @@
     "${peers[@]}" --platform "$PLATFORM" --store-region "$STORE_REGION" "$@"
   ENTRIES[number]=$host:8080
   ENTRY_PIDS[number]=$LAST_PID
-  http_put "$PLATFORM/instances/$id" "{\"address\":\"$host:8081\",\"state\":\"live\"}"
+  # An entry finds its peers by its seeds too, so it may start while the platform is down.
+  http_put "$PLATFORM/instances/$id" "{\"address\":\"$host:8081\",\"state\":\"live\"}" ||
+    echo "could not register $id at the platform" >&2
 }
 
 # kill_entry NUMBER: ends an entry as a crash does.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -53,6 +53,9 @@
 violations=$(rule_violations) || violations=1
 if ! wait_until "$IN_FORCE_LIMIT_S" "one revision everywhere" same_revision; then
   violations=$((violations + 1))
+  for address in "${ENTRIES[@]}"; do
+    echo "soak: $address has $(http_get "$address/admin/v1/revision" || echo "no answer")"
+  done
 fi
 kill "$watcher" 2>/dev/null || true
 reverted=$(grep -c '^reverted' "$WORK_DIR/revisions.log" || true)
