Make one piece of code serve where two stood

Cause: a last reading of the whole change found twins and work done twice: two parsers of query values, three conversions of durations, the lookup of a change's verdict, idle connections closed by two timers, the whole status collected to answer a poll for the revision, and two members nobody read. Change: queryValue(), base/seconds.h, ChangePublisher::verdictOf(), one timer; the revision is read from the blackboard; the unused members are gone. Behaviour is meant to be unchanged; no test was touched.

--- a/src/routing/internal/seconds.h
+++ b/src/base/seconds.h
@@ -4,12 +4,18 @@
 
 namespace lycheebay {
 
-/// Converts a duration to seconds for estimates.
+/// Converts a duration to seconds for estimates and display.
 constexpr double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Converts a duration to milliseconds for display.
+constexpr double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /// Converts seconds of an estimate to a duration. Precondition: fits in 64 bits of nanoseconds.
 constexpr Duration fromSeconds(double seconds)
 {
--- a/src/configuration/changepublisher.h
+++ b/src/configuration/changepublisher.h
@@ -48,10 +48,10 @@
     /// of the log beyond it. Thread-safe.
     absl::StatusOr<PublishReport> publish(const Change &change, TimePoint deadline);
 
-private:
-    /// Returns the verdict once the follower has seen the change.
+    /// Returns the verdict of the change with that id once the follower has seen it. Thread-safe.
     std::optional<PublishReport> verdictOf(const std::string &id) const;
 
+private:
     IPlatformLog &m_log;
     ConfigurationFollower &m_follower;
     const IClock &m_clock;
--- a/src/daemon/adminapi.cpp
+++ b/src/daemon/adminapi.cpp
@@ -163,10 +163,11 @@
 
 HttpResponse AdminApi::revision(const HttpRequest &) const
 {
-    const StatusReport report = m_sources.status();
+    // Operators' commands poll this on every entry, so it does not collect the whole status.
+    const auto state = m_sources.board->configuration.read();
     return textResponse(200, "text/plain",
-                        fmt::format("{} {} {}\n", report.configuration->revision(),
-                                    report.self.incarnation, report.configuration->nextOffset()));
+                        fmt::format("{} {} {}\n", state->revision(), m_sources.incarnation,
+                                    state->nextOffset()));
 }
 
 HttpResponse AdminApi::sheet(const HttpRequest &) const
--- a/src/daemon/adminapi.h
+++ b/src/daemon/adminapi.h
@@ -15,7 +15,7 @@
     std::function<StatusReport()> status;
     std::function<std::string()> metrics;
     const Blackboard *board = nullptr;
-    const IClock *clock = nullptr;
+    std::uint64_t incarnation = 0;
     ConfigurationService *configuration = nullptr;
 };
 
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -67,20 +67,8 @@
 {
     // A repeat after a lost answer finds the verdict of the first one.
     static_cast<void>(pollOnce(m_log, m_follower));
-    const auto state = m_follower.state();
-    for (const SeenChange &seen : state->history().seen) {
-        if (seen.id != change.id)
-            continue;
-        PublishReport report{ seen.accepted ? PublishOutcome::Accepted : PublishOutcome::Rejected,
-                              seen.offset,
-                              {},
-                              seen.conflictsWith };
-        for (const AuditEntry &entry : state->audit()) {
-            if (entry.changeId == change.id)
-                report.reason = entry.reason;
-        }
-        return report;
-    }
+    if (const auto verdict = m_publisher.verdictOf(change.id))
+        return *verdict;
     return m_publisher.publish(change, m_clock.now() + kPublishTimeout);
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kIdleConnectionSweep{ 1 };
 constexpr std::chrono::milliseconds kIdlePause{ 50 };
 /// Peers are told of the leave by heartbeats, which go out every 500 ms.
 constexpr std::chrono::seconds kLeaveAnnouncement{ 1 };
@@ -134,7 +133,6 @@
     ~Private()
     {
         m_front.stop();
-        m_sweep.reset();
         m_node.stop();
         m_sharing.setNode(nullptr);
     }
@@ -149,7 +147,6 @@
             return status;
         m_cells.start(m_timers);
         m_configuration.start([this](const PlatformView &view) { takeInstanceList(view); });
-        m_sweep = m_timers.every(kIdleConnectionSweep, [this] { m_client.closeIdle(); });
         return m_front.start();
     }
 
@@ -204,7 +201,7 @@
         sources.status = [this] { return status(); };
         sources.metrics = [this] { return metrics(); };
         sources.board = &m_board;
-        sources.clock = &m_clock;
+        sources.incarnation = m_self.incarnation;
         sources.configuration = &m_configuration;
         return sources;
     }
@@ -242,7 +239,6 @@
         report.now = m_clock.wallNow();
         report.configuration = m_board.configuration.read();
         report.plan = m_board.plan.read();
-        report.platform = m_board.platform.read();
         report.ready = report.leaseValid && !m_leaving && report.configuration->revision() > 0
                        && report.plan->findIncarnation(m_self.incarnation)
                        && !report.configuration->estate()->data().services.empty()
@@ -307,7 +303,6 @@
     RequestHandler m_handler;
     AdminApi m_admin;
     HttpFront m_front;
-    TimerSubscription m_sweep;
     std::atomic<bool> m_leaving{ false };
     mutable std::atomic<bool> m_settled{ false };
 };
--- a/src/daemon/explain.cpp
+++ b/src/daemon/explain.cpp
@@ -1,6 +1,7 @@
 #include "daemon/explain.h"
 
 #include "entry/cell.h"
+#include "outcomes/httpmessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,19 +13,6 @@
 
 using Json = nlohmann::json;
 
-std::string parameter(std::string_view target, std::string_view name, std::string fallback)
-{
-    const auto mark = target.find('?');
-    std::string_view query = mark == std::string_view::npos ? "" : target.substr(mark + 1);
-    while (!query.empty()) {
-        const std::string_view pair = query.substr(0, query.find('&'));
-        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
-            return std::string(pair.substr(name.size() + 1));
-        query.remove_prefix(std::min(pair.size() + 1, query.size()));
-    }
-    return fallback;
-}
-
 std::string ruledOutBy(const Estate &estate, const Target &target, WallTime now)
 {
     if (target.drained)
@@ -81,8 +69,12 @@
 
 ExplainQuestion parseExplainQuestion(std::string_view target)
 {
-    return { parameter(target, "service", ""), parameter(target, "method", "GET"),
-             parameter(target, "path", "/"), parameter(target, "tenant", "") };
+    ExplainQuestion question;
+    question.service = queryValue(target, "service").value_or(question.service);
+    question.method = queryValue(target, "method").value_or(question.method);
+    question.path = queryValue(target, "path").value_or(question.path);
+    question.tenant = queryValue(target, "tenant").value_or(question.tenant);
+    return question;
 }
 
 std::string explainRequest(const StatusReport &report, const ExplainQuestion &question)
--- a/src/daemon/metricsexport.cpp
+++ b/src/daemon/metricsexport.cpp
@@ -1,5 +1,6 @@
 #include "daemon/metricsexport.h"
 
+#include "base/seconds.h"
 #include "entry/celldirectory.h"
 #include "entry/entrycounters.h"
 #include "transport/httpfront.h"
@@ -13,11 +14,6 @@
 
 namespace {
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 struct EntryCounterSpec
 {
     const char *name;
@@ -82,7 +78,7 @@
     builder.gauge("lycheebay_target_accepts_work", "1 while the target may get new work.",
                   target.acceptsWork && !target.draining, labels);
     builder.gauge("lycheebay_target_latency_seconds", "Recent latency of the target.",
-                  seconds(target.recentLatency), labels);
+                  toSeconds(target.recentLatency), labels);
 }
 
 } // namespace
@@ -126,11 +122,11 @@
         cumulative += histogram.count(i);
         const bool last = i + 1 == DurationHistogram::kBuckets;
         const double bound = last ? std::numeric_limits<double>::infinity()
-                                  : seconds(DurationHistogram::upperBound(i));
+                                  : toSeconds(DurationHistogram::upperBound(i));
         metric.histogram.bucket.push_back({ cumulative, bound });
     }
     metric.histogram.sample_count = cumulative;
-    metric.histogram.sample_sum = seconds(histogram.sum());
+    metric.histogram.sample_sum = toSeconds(histogram.sum());
     family(name, help, prometheus::MetricType::Histogram).metric.push_back(metric);
 }
 
--- a/src/daemon/statusjson.cpp
+++ b/src/daemon/statusjson.cpp
@@ -1,5 +1,6 @@
 #include "daemon/statuspage.h"
 
+#include "base/seconds.h"
 #include "entry/cell.h"
 
 #include <nlohmann/json.hpp>
@@ -10,11 +11,6 @@
 
 using Json = nlohmann::json;
 
-double milliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 Json targetJson(const TargetStatus &target)
 {
     return { { "id", target.id },
@@ -22,7 +18,7 @@
              { "slots", target.slots },
              { "limit", target.limit },
              { "outstanding", target.outstanding },
-             { "latencyMs", milliseconds(target.recentLatency) },
+             { "latencyMs", toMilliseconds(target.recentLatency) },
              { "acceptsWork", target.acceptsWork },
              { "cold", target.cold },
              { "ejected", target.ejected },
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -1,5 +1,6 @@
 #include "daemon/statuspage.h"
 
+#include "base/seconds.h"
 #include "entry/cell.h"
 
 #include <fmt/chrono.h>
@@ -49,11 +50,6 @@
                        good ? goodText : badText);
 }
 
-double milliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 std::string renderSummary(const StatusReport &report)
 {
     return fmt::format("<h1>{} <small>{} / {}</small></h1><table>"
@@ -115,7 +111,7 @@
                        "<td class=\"num\">{} of {}</td><td class=\"num\">{:.1f}</td></tr>",
                        escape(target.id), escape(target.address.toString()), state,
                        escape(target.reason), target.outstanding, target.limit, target.slots,
-                       milliseconds(target.recentLatency));
+                       toMilliseconds(target.recentLatency));
 }
 
 std::string renderCell(const std::string &service, const Cell &cell, const StatusReport &report)
@@ -155,8 +151,7 @@
     std::string rows;
     for (const PeerStatus &peer : report.peers) {
         const std::string heard =
-                peer.lastHeard ? fmt::format("{:.1f} s ago", milliseconds(*peer.lastHeard) / 1000)
-                               : "";
+                peer.lastHeard ? fmt::format("{:.1f} s ago", toSeconds(*peer.lastHeard)) : "";
         const std::string offset = peer.nextOffset ? std::to_string(*peer.nextOffset) : "";
         rows += fmt::format(
                 "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>"
--- a/src/daemon/statuspage.h
+++ b/src/daemon/statuspage.h
@@ -25,7 +25,6 @@
     WallTime now;
     IntrusivePtr<const ConfigurationState> configuration;
     IntrusivePtr<const CellPlan> plan;
-    IntrusivePtr<const PlatformView> platform;
     std::map<std::string, std::shared_ptr<Cell>> cells;
     std::vector<PeerStatus> peers;
     std::size_t openConnections = 0;
--- a/src/entry/celldirectory.cpp
+++ b/src/entry/celldirectory.cpp
@@ -2,7 +2,6 @@
 
 #include "base/hash.h"
 #include "entry/internal/delayedworkers.h"
-
 #include "transport/loadheader.h"
 #include "transport/targetclient.h"
 
@@ -13,7 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRefreshPeriod{ 100 };
-/// Verdicts are published and idle connections closed in every tenth period, once a second.
+/// Idle connections are closed in every tenth period, once a second.
 constexpr int kRoundsPerSecond = 10;
 
 /// Compares without the time to the next trial, which changes all the time.
--- a/src/entry/internal/addressservice.cpp
+++ b/src/entry/internal/addressservice.cpp
@@ -22,21 +22,6 @@
 constexpr std::chrono::milliseconds kForwardTimeout{ 500 };
 constexpr std::chrono::seconds kRetryAfter{ 1 };
 
-/// Returns the value of a query parameter. Names of services and tenants need no escapes.
-std::string queryValue(std::string_view target, std::string_view name)
-{
-    const auto mark = target.find('?');
-    std::string_view query = mark == std::string_view::npos ? "" : target.substr(mark + 1);
-    while (!query.empty()) {
-        const auto end = std::min(query.find('&'), query.size());
-        const std::string_view pair = query.substr(0, end);
-        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
-            return std::string(pair.substr(name.size() + 1));
-        query.remove_prefix(std::min(end + 1, query.size()));
-    }
-    return {};
-}
-
 } // namespace
 
 struct AddressService::Question
@@ -114,11 +99,11 @@
     if (!question.configuration || !question.plan)
         return { 503, "no configuration yet", kRetryAfter };
     const Estate &estate = *question.configuration->estate();
-    question.service = queryValue(request.target, "service");
+    question.service = queryValue(request.target, "service").value_or("");
     if (!estate.hasService(question.service))
         return { 404, "unknown service", {} };
     question.regions = estate.regionsOf(question.service);
-    const std::string tenantName = queryValue(request.target, "tenant");
+    const std::string tenantName = queryValue(request.target, "tenant").value_or("");
     if (!tenantName.empty()) {
         const Tenant *tenant = estate.findTenant(tenantName);
         if (!tenant)
--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -71,6 +71,20 @@
                   [&](const HttpHeader &header) { return sameHeaderName(header.name, name); });
 }
 
+std::optional<std::string> queryValue(std::string_view target, std::string_view name)
+{
+    const auto mark = target.find('?');
+    std::string_view query = mark == std::string_view::npos ? "" : target.substr(mark + 1);
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const std::string_view pair = query.substr(0, end);
+        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
+            return std::string(pair.substr(name.size() + 1));
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return std::nullopt;
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
     HttpHeaders result;
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,9 @@
 /// Replaces every header of that name.
 void setHeader(HttpHeaders &headers, std::string_view name, std::string value);
 void removeHeader(HttpHeaders &headers, std::string_view name);
+/// Returns the value of the first query parameter of that name, not decoded; null when \a target
+/// has none.
+std::optional<std::string> queryValue(std::string_view target, std::string_view name);
 /// Returns the headers that are meant for the other end: without hop-by-hop headers (RFC 9110,
 /// 7.6.1), those that Connection names, Host and Content-Length.
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
--- a/src/routing/internal/latencyestimate.h
+++ b/src/routing/internal/latencyestimate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "routing/internal/seconds.h"
+#include "base/seconds.h"
 
 #include <cmath>
 
--- a/src/routing/internal/latencyhistogram.cpp
+++ b/src/routing/internal/latencyhistogram.cpp
@@ -1,6 +1,6 @@
 #include "routing/internal/latencyhistogram.h"
 
-#include "routing/internal/seconds.h"
+#include "base/seconds.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/routing/internal/probeplanner.cpp
+++ b/src/routing/internal/probeplanner.cpp
@@ -1,7 +1,7 @@
 #include "routing/internal/probeplanner.h"
 
 #include "base/invariant.h"
-#include "routing/internal/seconds.h"
+#include "base/seconds.h"
 
 #include <algorithm>
 
--- a/tools/routing-bench/workload.cpp
+++ b/tools/routing-bench/workload.cpp
@@ -1,7 +1,7 @@
 #include "workload.h"
 
+#include "base/seconds.h"
 #include "base/seededrandom.h"
-#include "routing/internal/seconds.h"
 
 #include <algorithm>
 #include <cmath>
