--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,247 @@
+#include "gateway/gateway.h"
+
+#include "gateway/internal/proxiedrequest.h"
+#include "gateway/routetable.h"
+#include "http/httpserialization.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+// Retry-After of an instance that has no configuration yet or leaves, in seconds.
+constexpr char kShortRetryAfter[] = "0.2";
+// An instance that just started may not see the others yet, and must not take cold targets on top
+// of theirs.
+constexpr Duration kColdHoldAfterStart = std::chrono::seconds(4);
+// Cold targets are used by the first dispatchers of a service only.
+constexpr std::size_t kColdDispatchers = 1;
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                 IRandomSource &random, const ITargetProtocol &protocol,
+                 GatewayBlackboard &blackboard, GatewayMetrics &metrics, GatewaySettings settings)
+    : m_settings(std::move(settings))
+    , m_blackboard(blackboard)
+    , m_metrics(metrics)
+    , m_log(clock, m_settings.maxLogLinesPerSecond)
+    , m_context{ context, timers, clock, random, protocol, metrics, m_log }
+    , m_listener(context, timers, clock,
+                 [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
+    , m_startedAt(clock.now())
+{
+    m_blackboard.configuration.subscribe(
+            [this](const IntrusivePtr<const GatewayConfiguration> &it) {
+                configurationChanged(it);
+            });
+    m_blackboard.targets.subscribe([this](const auto &) { configureDispatchers(); });
+    m_blackboard.drainedDomains.subscribe([this](const auto &) { configureDispatchers(); });
+    m_blackboard.instances.subscribe([this](const auto &) { configureDispatchers(); });
+    m_coldHoldTimer = timers.after(kColdHoldAfterStart, [this] { configureDispatchers(); });
+}
+
+Gateway::~Gateway() = default;
+
+absl::Status Gateway::start(const Address &address)
+{
+    HttpListenerLimits limits;
+    limits.connections = m_settings.maxCallerConnections;
+    m_listener.setLimits(limits);
+    return m_listener.start(address);
+}
+
+void Gateway::setBounds(const RetryBudget &retryBudget, Duration gracePeriod)
+{
+    m_settings.retryBudget = retryBudget;
+    m_settings.gracePeriod = gracePeriod;
+    configureDispatchers();
+}
+
+bool Gateway::isReady() const
+{
+    return !m_leaving && m_blackboard.configuration.read();
+}
+
+void Gateway::beginLeaving()
+{
+    if (m_leaving)
+        return;
+    m_leaving.emplace(m_context.clock.now(), m_settings.gracePeriod);
+    m_listener.closeAfterResponses();
+}
+
+bool Gateway::shouldEnd() const
+{
+    return m_leaving
+            && m_leaving->shouldEnd(m_context.clock.now(), m_listener.pendingCount(),
+                                    m_listener.connectionCount());
+}
+
+void Gateway::handle(const IntrusivePtr<HttpExchange> &exchange)
+{
+    if (!m_refresher) {
+        proxy(exchange);
+        return;
+    }
+    m_refresher->noteUse();
+    m_refresher->whenRecent([this, exchange] { proxy(exchange); });
+}
+
+void Gateway::proxy(const IntrusivePtr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    const CallerTerms terms = m_context.protocol.readCallerTerms(request);
+    const auto configuration = m_blackboard.configuration.read();
+    if (!configuration) {
+        refuse(*exchange, kUnavailable, "no_configuration", terms);
+        return;
+    }
+    const std::string *host = findHeader(request.headers, "Host");
+    if (!host || countHeader(request.headers, "Host") != 1) {
+        refuse(*exchange, kBadRequest, "no_host", terms);
+        return;
+    }
+    const Route *route = findRoute(*configuration, normalizedHost(*host), request.path());
+    if (!route) {
+        refuse(*exchange, kNotFound, "no_route", terms);
+        return;
+    }
+    if (m_leaving && !m_leaving->mayAccept(m_context.clock.now(), route->timeout)) {
+        refuse(*exchange, kUnavailable, "leaving", terms);
+        return;
+    }
+    const RoutePart &part = chooseRoutePart(*route, m_context.random);
+    ServiceDispatcher &dispatcher = dispatcherOf(part.service, *route);
+    makeRef<ProxiedRequest>(m_context, exchange, configuration, *route, dispatcher, terms)->start();
+}
+
+void Gateway::refuse(HttpExchange &exchange, int status, const char *reason,
+                     const CallerTerms &terms)
+{
+    HttpResponse response = jsonResponse(
+            status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
+    if (status == kUnavailable)
+        response.headers.push_back({ "Retry-After", kShortRetryAfter });
+    LogFields fields("refused");
+    const auto configuration = m_blackboard.configuration.read();
+    fields.add("request", terms.attemptId)
+            .add("target", exchange.request().path())
+            .add("reason", reason)
+            .add("status", status)
+            .add("config", static_cast<std::int64_t>(configuration ? configuration->version : 0));
+    m_log.write(fields);
+    m_metrics.countRequest("none", reason);
+    exchange.respond(response);
+}
+
+std::vector<Address> Gateway::addressesFor(const AddressQuery &query)
+{
+    const auto configuration = m_blackboard.configuration.read();
+    const auto instances = m_blackboard.instances.read();
+    const auto targets = m_blackboard.targets.read();
+    const auto drained = m_blackboard.drainedDomains.read();
+    if (!configuration || !instances)
+        return {};
+    const TargetList noTargets;
+    const DrainedDomains noDomains;
+    const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
+                                 drained ? *drained : noDomains, *instances, m_settings.regions };
+    std::vector<Address> addresses =
+            chooseAddresses(inputs, query, m_settings.dispatchersPerDomain, m_context.random);
+    m_metrics.countAddressAnswer(addresses.empty());
+    return addresses;
+}
+
+void Gateway::configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration)
+{
+    HttpListenerLimits limits = m_listener.limits();
+    limits.message = { configuration->limits.headBytes, configuration->limits.bodyBytes };
+    limits.request = configuration->limits.headTimeout;
+    limits.idle = configuration->limits.idleTimeout;
+    m_listener.setLimits(limits);
+    for (const RoutedHost &host : configuration->hosts) {
+        for (const Route &route : host.routes) {
+            for (const RoutePart &part : route.parts)
+                dispatcherOf(part.service, route);
+        }
+    }
+    m_metrics.setConfigurationVersion(configuration->version);
+    configureDispatchers();
+}
+
+ServiceDispatcher &Gateway::dispatcherOf(const std::string &service, const Route &route)
+{
+    auto &dispatcher = m_dispatchers[service];
+    if (!dispatcher) {
+        dispatcher = std::make_unique<ServiceDispatcher>(m_context, m_settings.pool, service,
+                                                         route.targetLatency);
+    }
+    return *dispatcher;
+}
+
+void Gateway::configureDispatchers()
+{
+    const auto configuration = m_blackboard.configuration.read();
+    const auto instances = m_blackboard.instances.read();
+    if (!configuration)
+        return;
+    const std::size_t instanceCount = instances ? instances->instances.size() : 1;
+    for (const auto &[service, dispatcher] : m_dispatchers) {
+        const ServiceProperties *known = findService(*configuration, service);
+        const ServiceProperties properties = known ? *known : ServiceProperties();
+        dispatcher->configure(properties, poolTargets(service), isDispatcherOf(service));
+        dispatcher->retries().setBudget(m_settings.retryBudget, instanceCount);
+    }
+}
+
+bool Gateway::isDispatcherOf(const std::string &service) const
+{
+    const auto instances = m_blackboard.instances.read();
+    if (!instances || m_context.clock.now() - m_startedAt < kColdHoldAfterStart)
+        return false;
+    const auto dispatchers =
+            dispatchersOf(*instances, service, m_settings.failureDomain, kColdDispatchers);
+    return std::any_of(
+            dispatchers.begin(), dispatchers.end(),
+            [&](const GatewayInstance &it) { return it.id == m_settings.instanceId; });
+}
+
+std::vector<PoolTarget> Gateway::poolTargets(const std::string &service) const
+{
+    const auto targets = m_blackboard.targets.read();
+    const auto drained = m_blackboard.drainedDomains.read();
+    std::vector<PoolTarget> selected;
+    if (!targets)
+        return selected;
+    for (const TargetRecord &it : targets->targets) {
+        if (it.service != service)
+            continue;
+        const auto region = m_settings.regions.find(it.failureDomain);
+        const bool isDrained = drained
+                && std::find(drained->domains.begin(), drained->domains.end(), it.failureDomain)
+                        != drained->domains.end();
+        selected.push_back({ it, region == m_settings.regions.end() ? "" : region->second,
+                             proximityOf(it.failureDomain), isDrained });
+    }
+    return selected;
+}
+
+Proximity Gateway::proximityOf(const std::string &failureDomain) const
+{
+    if (failureDomain == m_settings.failureDomain)
+        return Proximity::SameDomain;
+    const auto region = m_settings.regions.find(failureDomain);
+    const bool sameRegion =
+            region != m_settings.regions.end() && region->second == m_settings.region;
+    return sameRegion ? Proximity::SameRegion : Proximity::OtherRegion;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/gatewaymetrics.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/iclock.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace lycheebay {
+
+/// Counters, gauges and histograms of one gateway process. Thread-safe.
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+
+    /// \a outcome is one of a fixed set of words.
+    void countRequest(const std::string &route, const std::string &outcome);
+    void observeLatency(const std::string &route, Duration latency);
+    void observeQueueTime(Duration wait);
+    void countAttempt(const std::string &verdict);
+    void countExtraAttempt(bool allowed);
+    void countProbe(bool answered);
+    void countConnectionOpened();
+    void countAddressAnswer(bool empty);
+    void countStoreCall(const std::string &call, const std::string &result);
+    void setConfigurationVersion(std::uint64_t version);
+    void setInstances(std::size_t n);
+    void setTargets(std::size_t n);
+    void setDroppedLogLines(std::uint64_t n);
+
+    /// Returns the text exposition format.
+    std::string render() const;
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter> &m_requests;
+    prometheus::Family<prometheus::Histogram> &m_latency;
+    prometheus::Histogram &m_queueTime;
+    prometheus::Family<prometheus::Counter> &m_attempts;
+    prometheus::Family<prometheus::Counter> &m_extraAttempts;
+    prometheus::Family<prometheus::Counter> &m_probes;
+    prometheus::Counter &m_connections;
+    prometheus::Family<prometheus::Counter> &m_addressAnswers;
+    prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Gauge &m_configurationVersion;
+    prometheus::Gauge &m_instances;
+    prometheus::Gauge &m_targets;
+    prometheus::Gauge &m_droppedLogLines;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/internal/decisionlog.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/iclock.h"
+
+#include <log4cplus/logger.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lycheebay {
+
+/// Text of one structured log line: an event and its fields.
+class LogFields
+{
+public:
+    explicit LogFields(std::string_view event);
+
+    /// Adds a field; characters that would break the line apart are replaced by '_'.
+    LogFields &add(std::string_view name, std::string_view value);
+    LogFields &add(std::string_view name, std::int64_t value);
+    LogFields &addMs(std::string_view name, Duration value);
+
+    const std::string &text() const { return m_text; }
+
+private:
+    std::string m_text;
+};
+
+/// Log of the decisions that touch requests, bounded in lines a second. Lines beyond the bound are
+/// counted and the count is logged. Not thread-safe.
+class DecisionLog
+{
+public:
+    DecisionLog(const IClock &clock, int maxLinesPerSecond);
+
+    void write(const LogFields &fields);
+
+private:
+    const IClock &m_clock;
+    const log4cplus::Logger m_logger;
+    const int m_maxLinesPerSecond;
+    TimePoint m_secondStart;
+    int m_linesThisSecond = 0;
+    std::int64_t m_suppressed = 0;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/internal/gatewaycontext.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/irandomsource.h"
+#include "base/itimerservice.h"
+#include "gateway/gatewaymetrics.h"
+#include "gateway/internal/decisionlog.h"
+#include "gateway/itargetprotocol.h"
+
+#include <asio/io_context.hpp>
+
+namespace lycheebay {
+
+/// What the parts of one gateway share. All references outlive the gateway. Not thread-safe: use it
+/// on the event loop.
+struct GatewayContext
+{
+    asio::io_context &context;
+    ITimerService &timers;
+    const IClock &clock;
+    IRandomSource &random;
+    const ITargetProtocol &protocol;
+    GatewayMetrics &metrics;
+    DecisionLog &log;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/leavingplan.cpp
@@ -0,0 +1,34 @@
+#include "gateway/leavingplan.h"
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time before the forced end at which the process ends by itself.
+constexpr Duration kEndMargin = milliseconds(250);
+// Shortest time for which connections are accepted, since callers keep address answers.
+constexpr Duration kShortestStay = milliseconds(2500);
+
+} // namespace
+
+LeavingPlan::LeavingPlan(TimePoint since, Duration gracePeriod)
+    : m_since(since)
+    , m_end(since + gracePeriod - kEndMargin)
+{}
+
+bool LeavingPlan::mayAccept(TimePoint now, Duration timeout) const
+{
+    return now + timeout < m_end;
+}
+
+bool LeavingPlan::shouldEnd(TimePoint now, std::size_t pendingRequests,
+                            std::size_t connections) const
+{
+    if (now >= m_end)
+        return true;
+    return pendingRequests == 0 && connections == 0 && now - m_since >= kShortestStay;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/servicepool.cpp
@@ -0,0 +1,395 @@
+#include "gateway/servicepool.h"
+
+#include "base/seconds.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Slowdown that is assumed of a target without a recent reading: neighbours slow a machine for a
+// quarter of the time, to four times the usual work time.
+constexpr double kUnknownSlowdown = 1.75;
+// A reading says little about a target's speed after this time; slow spells last about as long.
+constexpr Duration kReadingLife = milliseconds(300);
+// A target with this slowdown or less is taken without looking at others.
+constexpr double kNearlyUnslowed = 1.1;
+// A cold target works about this much slower than a warm one.
+constexpr double kColdSlowdown = 2;
+// While requests wait for a faster target, the free but slow ones are asked again at this interval.
+constexpr Duration kQueueCheckPeriod = milliseconds(25);
+// A probe that was not answered by then is not waited for.
+constexpr Duration kProbeInFlightLimit = milliseconds(300);
+// Weight of a sample in the mean time that a request holds a slot.
+constexpr double kHoldSampleWeight = 0.05;
+// Bounds of Retry-After; the upper one keeps a repeat within the time that callers have.
+constexpr Duration kShortestRetryAfter = milliseconds(50);
+constexpr Duration kLongestRetryAfter = milliseconds(1500);
+
+bool contains(const std::vector<std::string> &list, const std::string &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+} // namespace
+
+std::string targetKey(const TargetRecord &record)
+{
+    return record.id + '@' + std::to_string(record.startedAtMs);
+}
+
+ServicePool::ServicePool(const ServicePoolSettings &settings, Duration targetLatency,
+                         IRandomSource &random)
+    : m_settings(settings)
+    , m_random(random)
+    , m_workTime(targetLatency)
+    , m_holdTime(m_workTime.at(kUnknownSlowdown))
+{}
+
+void ServicePool::setTargets(const std::vector<PoolTarget> &targets)
+{
+    std::vector<TargetState> states;
+    states.reserve(targets.size());
+    for (const PoolTarget &target : targets) {
+        const std::string key = targetKey(target.record);
+        TargetState *known = find(key);
+        TargetState state = known ? std::move(*known) : TargetState();
+        if (!known)
+            state.coldUntil = target.record.coldUntil;
+        state.key = key;
+        state.target = target;
+        states.push_back(std::move(state));
+    }
+    m_targets = std::move(states);
+}
+
+void ServicePool::setColdPolicy(double requestsPerSecond, bool mayUseCold)
+{
+    m_coldRequestsPerSecond = requestsPerSecond;
+    m_mayUseCold = mayUseCold;
+}
+
+void ServicePool::enqueue(const Ticket &ticket)
+{
+    // Urgent kinds go first; among equals the one whose objective ends first.
+    const auto before = [](const Ticket &a, const Ticket &b) {
+        return std::tie(a.priority, a.objective, a.id) < std::tie(b.priority, b.objective, b.id);
+    };
+    m_queue.insert(std::upper_bound(m_queue.begin(), m_queue.end(), ticket, before), ticket);
+}
+
+void ServicePool::cancel(TicketId ticket)
+{
+    std::erase_if(m_queue, [&](const Ticket &it) { return it.id == ticket; });
+}
+
+PoolDecisions ServicePool::decide(TimePoint now)
+{
+    PoolDecisions decisions;
+    std::vector<Ticket> waiting;
+    m_ahead = 0;
+    for (const Ticket &it : m_queue) {
+        if (decideTicket(it, now, decisions))
+            continue;
+        waiting.push_back(it);
+        ++m_ahead;
+    }
+    m_queue = std::move(waiting);
+    if (!m_queue.empty())
+        checkAgain(now + kQueueCheckPeriod, decisions);
+    probeIdle(now, decisions);
+    return decisions;
+}
+
+bool ServicePool::decideTicket(const Ticket &ticket, TimePoint now, PoolDecisions &decisions)
+{
+    const std::vector<TargetState *> targets = eligibleTargets(ticket, now);
+    if (targets.empty()) {
+        refuse(ticket, RefusalReason::NoTarget, now, decisions);
+        return true;
+    }
+    if (now + m_workTime.usual() / 2 >= ticket.giveUp || now >= ticket.objective) {
+        refuse(ticket, RefusalReason::WaitedLong, now, decisions);
+        return true;
+    }
+    std::vector<TargetState *> free;
+    std::copy_if(targets.begin(), targets.end(), std::back_inserter(free),
+                 [&](const TargetState *it) { return it->unseen || freeSlots(*it, now) > 0; });
+    if (askForLoad(free, ticket, now, decisions)) {
+        checkAgain(ticket.arrival + m_settings.probeWait, decisions);
+        return false;
+    }
+    std::erase_if(free, [&](const TargetState *it) { return freeSlots(*it, now) <= 0; });
+    const Choice choice = fastest(free, now);
+    const TimePoint latestStart = ticket.objective - m_workTime.usual();
+    const bool inTime = choice.target && now + choice.expected <= ticket.objective;
+    const bool tooLateAnyway = choice.target && now >= latestStart;
+    if (inTime || tooLateAnyway) {
+        place(ticket, choice, now, decisions);
+        return true;
+    }
+    const Duration wait = expectedWait(targets, m_ahead, now);
+    if (now + wait > ticket.objective) {
+        refuse(ticket, RefusalReason::QueueFull, now, decisions);
+        return true;
+    }
+    checkAgain(std::max(latestStart, now + kQueueCheckPeriod), decisions);
+    return false;
+}
+
+bool ServicePool::askForLoad(const std::vector<TargetState *> &targets, const Ticket &ticket,
+                             TimePoint now, PoolDecisions &decisions)
+{
+    bool fastOneKnown = false;
+    bool asked = false;
+    for (TargetState *it : targets) {
+        const bool fresh = isFresh(*it, now);
+        fastOneKnown = fastOneKnown || (fresh && slowdownOf(*it, now) <= kNearlyUnslowed);
+    }
+    if (fastOneKnown)
+        return false;
+    for (TargetState *it : targets) {
+        if (isFresh(*it, now))
+            continue;
+        const bool inFlight = it->probeSentAt && now - *it->probeSentAt < kProbeInFlightLimit;
+        if (!inFlight) {
+            it->probeSentAt = now;
+            decisions.probes.push_back(it->target.record);
+        }
+        asked = true;
+    }
+    return asked && now - ticket.arrival < m_settings.probeWait;
+}
+
+ServicePool::Choice ServicePool::fastest(const std::vector<TargetState *> &targets,
+                                         TimePoint now) const
+{
+    Choice best;
+    double bestCost = 0;
+    for (TargetState *it : targets) {
+        const double slowdown = slowdownOf(*it, now);
+        const Duration expected = m_workTime.at(slowdown);
+        // A failing target looks as slow as the retry that it is likely to cause; among equals the
+        // one with more free slots is taken.
+        const double fill = static_cast<double>(it->inFlight + foreignOf(*it, now))
+                / std::max(1, it->target.record.slots);
+        const double cost =
+                toSeconds(expected) * (1 + 3 * it->health.failureShare()) * (1 + 0.2 * fill);
+        if (!best.target || cost < bestCost) {
+            best = { it, expected };
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void ServicePool::place(const Ticket &ticket, const Choice &choice, TimePoint now,
+                        PoolDecisions &decisions)
+{
+    TargetState &target = *choice.target;
+    ++target.inFlight;
+    if (isCold(target, now))
+        target.nextColdStart = now + fromSeconds(1 / m_coldRequestsPerSecond);
+    target.health.noteTrialStarted(now);
+    Placement placement{ ticket.id, target.target.record, choice.expected, std::nullopt,
+                         target.slowdown, m_ahead };
+    if (target.loadAt)
+        placement.loadAge = now - *target.loadAt;
+    decisions.placements.push_back(std::move(placement));
+}
+
+void ServicePool::refuse(const Ticket &ticket, RefusalReason reason, TimePoint now,
+                         PoolDecisions &decisions)
+{
+    const Duration wait = expectedWait(eligibleTargets(ticket, now), m_queue.size(), now);
+    decisions.refusals.push_back({ ticket.id, reason, retryAfter(wait), m_queue.size() });
+}
+
+Duration ServicePool::retryAfter(Duration wait)
+{
+    // Spread over the time to come, so that the callers do not return together.
+    const double spread = 0.5 + m_random.uniform();
+    const Duration spreadWait = fromSeconds(toSeconds(wait) * spread);
+    return std::clamp(spreadWait, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+Duration ServicePool::expectedWait(const std::vector<TargetState *> &targets, std::size_t ahead,
+                                   TimePoint now) const
+{
+    int slots = 0;
+    int free = 0;
+    for (const TargetState *it : targets) {
+        slots += limitOf(*it, now);
+        free += std::max(0, freeSlots(*it, now));
+    }
+    if (slots == 0)
+        return kLongestRetryAfter;
+    const auto blocked = static_cast<double>(ahead) + 1 - free;
+    return blocked <= 0 ? Duration::zero() : fromSeconds(toSeconds(m_holdTime) * blocked / slots);
+}
+
+std::vector<ServicePool::TargetState *> ServicePool::eligibleTargets(const Ticket &ticket,
+                                                                     TimePoint now)
+{
+    for (const bool allowEjected : { false, true }) {
+        for (const Proximity proximity :
+             { Proximity::SameDomain, Proximity::SameRegion, Proximity::OtherRegion }) {
+            std::vector<TargetState *> targets;
+            for (TargetState &it : m_targets) {
+                if (it.target.proximity == proximity && isEligible(it, ticket, now, allowEjected))
+                    targets.push_back(&it);
+            }
+            if (!targets.empty())
+                return targets;
+        }
+    }
+    return {};
+}
+
+bool ServicePool::isEligible(const TargetState &it, const Ticket &ticket, TimePoint now,
+                             bool allowEjected) const
+{
+    if (it.target.record.leaving || it.target.drained || contains(ticket.tried, it.key))
+        return false;
+    if (!ticket.homeRegions.empty() && !contains(ticket.homeRegions, it.target.region))
+        return false;
+    // One that was never heard of may be cold or not; it is asked before it gets a request.
+    if (!it.unseen && isCold(it, now) && !m_mayUseCold)
+        return false;
+    // A target that answers no probes is not tried for want of better ones.
+    return allowEjected ? !it.health.isSilent() : !it.health.isEjected(now);
+}
+
+bool ServicePool::isUsable(const std::string &key, TimePoint now) const
+{
+    const auto it = std::find_if(m_targets.begin(), m_targets.end(),
+                                 [&](const TargetState &state) { return state.key == key; });
+    return it != m_targets.end() && isEligible(*it, Ticket(), now, false);
+}
+
+bool ServicePool::isCold(const TargetState &it, TimePoint now) const
+{
+    return it.unseen || now < it.coldUntil;
+}
+
+int ServicePool::limitOf(const TargetState &it, TimePoint now) const
+{
+    if (isCold(it, now))
+        return 1;
+    return std::max(1, static_cast<int>(std::floor(it.target.record.slots * m_settings.slotShare)));
+}
+
+int ServicePool::freeSlots(const TargetState &it, TimePoint now) const
+{
+    if (isCold(it, now) && (!m_mayUseCold || now < it.nextColdStart))
+        return 0;
+    return limitOf(it, now) - it.inFlight - foreignOf(it, now);
+}
+
+int ServicePool::foreignOf(const TargetState &it, TimePoint now) const
+{
+    const bool known = it.loadAt && now - *it.loadAt <= kReadingLife;
+    return known ? it.foreign : 0;
+}
+
+bool ServicePool::isFresh(const TargetState &it, TimePoint now) const
+{
+    return it.loadAt && now - *it.loadAt <= m_settings.loadFreshness;
+}
+
+double ServicePool::slowdownOf(const TargetState &it, TimePoint now) const
+{
+    const bool known = it.loadAt && now - *it.loadAt <= kReadingLife;
+    const double slowdown = known ? it.slowdown : kUnknownSlowdown;
+    return isCold(it, now) ? slowdown * kColdSlowdown : slowdown;
+}
+
+void ServicePool::probeIdle(TimePoint now, PoolDecisions &decisions)
+{
+    for (TargetState &it : m_targets) {
+        if (it.target.proximity != Proximity::SameDomain || it.target.record.leaving)
+            continue;
+        TimePoint last = TimePoint::min();
+        if (it.loadAt)
+            last = *it.loadAt;
+        if (it.probeSentAt)
+            last = std::max(last, *it.probeSentAt);
+        if (last != TimePoint::min() && now - last < m_settings.idleProbePeriod)
+            continue;
+        it.probeSentAt = now;
+        decisions.probes.push_back(it.target.record);
+    }
+}
+
+void ServicePool::checkAgain(TimePoint at, PoolDecisions &decisions) const
+{
+    if (!decisions.nextCheck || at < *decisions.nextCheck)
+        decisions.nextCheck = at;
+}
+
+void ServicePool::noteLoad(const std::string &key, const LoadReading &load, TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return;
+    it->loadAt = now;
+    it->slowdown = load.slowdown;
+    it->foreign = std::max(0, load.running + load.waiting - it->inFlight);
+    it->unseen = false;
+}
+
+void ServicePool::noteCold(const std::string &key, Duration left, TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return;
+    it->unseen = false;
+    it->coldUntil = now + left;
+}
+
+void ServicePool::noteProbe(const std::string &key, bool answered, TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return;
+    it->probeSentAt.reset();
+    it->health.noteProbe(answered, now);
+}
+
+void ServicePool::finish(const std::string &key, AttemptVerdict verdict,
+                         std::optional<Duration> elapsed, TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return;
+    it->inFlight = std::max(0, it->inFlight - 1);
+    it->health.noteAttempt(verdict, now);
+    if (!elapsed)
+        return;
+    const double sample = toSeconds(*elapsed);
+    const double held = toSeconds(m_holdTime);
+    m_holdTime = fromSeconds(held + kHoldSampleWeight * (sample - held));
+    if (verdict == AttemptVerdict::Served && !isCold(*it, now))
+        m_workTime.addSample(*elapsed, it->slowdown);
+}
+
+std::size_t ServicePool::inFlight() const
+{
+    std::size_t n = 0;
+    for (const TargetState &it : m_targets)
+        n += static_cast<std::size_t>(it.inFlight);
+    return n;
+}
+
+ServicePool::TargetState *ServicePool::find(const std::string &key)
+{
+    const auto it = std::find_if(m_targets.begin(), m_targets.end(),
+                                 [&](const TargetState &state) { return state.key == key; });
+    return it == m_targets.end() ? nullptr : &*it;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/servicepool.h
@@ -0,0 +1,209 @@
+#pragma once
+
+#include "base/irandomsource.h"
+#include "base/stringmap.h"
+#include "gateway/estateview.h"
+#include "gateway/itargetprotocol.h"
+#include "gateway/targethealth.h"
+#include "gateway/worktimeestimate.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheebay {
+
+/// How far a target is from the instance. Nearer ones are used as long as they have room.
+enum class Proximity { SameDomain, SameRegion, OtherRegion };
+
+/// A target as one pool sees it.
+struct PoolTarget
+{
+    TargetRecord record;
+    std::string region;
+    Proximity proximity = Proximity::SameDomain;
+    /// The target's failure domain is drained.
+    bool drained = false;
+
+    auto operator<=>(const PoolTarget &) const = default;
+};
+
+/// Names one incarnation of a target.
+std::string targetKey(const TargetRecord &record);
+
+using TicketId = std::uint64_t;
+
+/// A request that waits for a target.
+struct Ticket
+{
+    TicketId id = 0;
+    /// 0 is the most urgent.
+    int priority = 0;
+    TimePoint arrival;
+    /// Until then an answer has its full value.
+    TimePoint objective;
+    /// The caller or the route waits no longer.
+    TimePoint giveUp;
+    /// Regions that may serve the request; empty means all.
+    std::vector<std::string> homeRegions;
+    /// Keys of targets that must not get the request again.
+    std::vector<std::string> tried;
+
+    auto operator<=>(const Ticket &) const = default;
+};
+
+/// Why a request is refused without having been sent.
+enum class RefusalReason {
+    NoTarget,   ///< no target may serve it now
+    QueueFull,  ///< the expected wait leaves no time for the work
+    WaitedLong, ///< no target became free in time
+};
+
+struct Placement
+{
+    TicketId ticket = 0;
+    TargetRecord target;
+    /// Time that the work is expected to take.
+    Duration expected{};
+    /// Age of the load reading that the choice rests on; null without a reading.
+    std::optional<Duration> loadAge;
+    double slowdown = 1;
+    /// Tickets that went on waiting.
+    std::size_t queued = 0;
+};
+
+struct Refusal
+{
+    TicketId ticket = 0;
+    RefusalReason reason = RefusalReason::NoTarget;
+    /// When a repeat has a fair chance.
+    Duration retryAfter{};
+    std::size_t queued = 0;
+};
+
+/// What to do now.
+struct PoolDecisions
+{
+    std::vector<Placement> placements;
+    std::vector<Refusal> refusals;
+    /// Targets whose load is to be asked for.
+    std::vector<TargetRecord> probes;
+    /// When decide() has to be called again if nothing else happens.
+    std::optional<TimePoint> nextCheck;
+};
+
+struct ServicePoolSettings
+{
+    /// Share of a target's slots that is used. Targets become slow when nearly full, so that the
+    /// last slot lowers their throughput.
+    double slotShare = 0.8;
+    /// A load reading older than this is asked for again before a request is placed.
+    Duration loadFreshness = std::chrono::milliseconds(40);
+    /// A target that was not heard of for this long is probed even without requests.
+    Duration idleProbePeriod = std::chrono::milliseconds(1000);
+    /// How long a request waits for fresh load readings.
+    Duration probeWait = std::chrono::milliseconds(15);
+
+    auto operator<=>(const ServicePoolSettings &) const = default;
+};
+
+/// The targets of one service and the requests that wait for them. It answers load at which targets
+/// are unequally slow from one moment to the next: a request is placed at a free target that can
+/// serve it within its objective, waits as long as one may still turn up, is then placed wherever
+/// there is room, and is refused at once when the expected wait is too long.
+/// Pure and not thread-safe. `now` never goes backwards.
+class ServicePool
+{
+public:
+    ServicePool(const ServicePoolSettings &settings, Duration targetLatency, IRandomSource &random);
+
+    /// Replaces the targets; the state of those that stay is kept.
+    void setTargets(const std::vector<PoolTarget> &targets);
+    /// Sets the pace for cold targets. \a mayUseCold is false on instances that do not own the
+    /// targets, since their requests would come on top of the owner's.
+    void setColdPolicy(double requestsPerSecond, bool mayUseCold);
+
+    /// Adds a ticket. Precondition: its id is not in the queue.
+    void enqueue(const Ticket &ticket);
+    /// Removes a ticket; does nothing if it is not in the queue.
+    void cancel(TicketId ticket);
+    /// Places and refuses what can be decided now.
+    PoolDecisions decide(TimePoint now);
+
+    /// The following do nothing for a target that is not in the pool any more.
+    void noteLoad(const std::string &key, const LoadReading &load, TimePoint now);
+    void noteCold(const std::string &key, Duration left, TimePoint now);
+    void noteProbe(const std::string &key, bool answered, TimePoint now);
+    /// Ends an attempt that decide() placed. \a elapsed is null if the target did no work.
+    void finish(const std::string &key, AttemptVerdict verdict, std::optional<Duration> elapsed,
+                TimePoint now);
+
+    std::size_t queueLength() const { return m_queue.size(); }
+    std::size_t targetCount() const { return m_targets.size(); }
+    std::size_t inFlight() const;
+    /// True while the target would get a request if it had room.
+    bool isUsable(const std::string &key, TimePoint now) const;
+    Duration usualWorkTime() const { return m_workTime.usual(); }
+
+private:
+    struct TargetState
+    {
+        PoolTarget target;
+        std::string key;
+        TargetHealth health;
+        int inFlight = 0;
+        /// Requests of other instances, as far as the last reading showed.
+        int foreign = 0;
+        double slowdown = 1;
+        std::optional<TimePoint> loadAt;
+        std::optional<TimePoint> probeSentAt;
+        TimePoint coldUntil;
+        TimePoint nextColdStart;
+        /// No response was seen yet, so it may be cold.
+        bool unseen = true;
+    };
+    struct Choice
+    {
+        TargetState *target = nullptr;
+        Duration expected{};
+    };
+
+    TargetState *find(const std::string &key);
+    bool isCold(const TargetState &it, TimePoint now) const;
+    int limitOf(const TargetState &it, TimePoint now) const;
+    int freeSlots(const TargetState &it, TimePoint now) const;
+    int foreignOf(const TargetState &it, TimePoint now) const;
+    bool isFresh(const TargetState &it, TimePoint now) const;
+    double slowdownOf(const TargetState &it, TimePoint now) const;
+    bool isEligible(const TargetState &it, const Ticket &ticket, TimePoint now,
+                    bool allowEjected) const;
+    std::vector<TargetState *> eligibleTargets(const Ticket &ticket, TimePoint now);
+    Choice fastest(const std::vector<TargetState *> &targets, TimePoint now) const;
+    bool askForLoad(const std::vector<TargetState *> &targets, const Ticket &ticket, TimePoint now,
+                    PoolDecisions &decisions);
+    /// Returns true if the ticket left the queue.
+    bool decideTicket(const Ticket &ticket, TimePoint now, PoolDecisions &decisions);
+    void place(const Ticket &ticket, const Choice &choice, TimePoint now,
+               PoolDecisions &decisions);
+    void refuse(const Ticket &ticket, RefusalReason reason, TimePoint now,
+                PoolDecisions &decisions);
+    Duration expectedWait(const std::vector<TargetState *> &targets, std::size_t ahead,
+                          TimePoint now) const;
+    Duration retryAfter(Duration wait);
+    void probeIdle(TimePoint now, PoolDecisions &decisions);
+    void checkAgain(TimePoint at, PoolDecisions &decisions) const;
+
+    const ServicePoolSettings m_settings;
+    IRandomSource &m_random;
+    WorkTimeEstimate m_workTime;
+    /// Time that a request holds a slot, slowed targets included.
+    Duration m_holdTime;
+    double m_coldRequestsPerSecond = 1;
+    bool m_mayUseCold = false;
+    std::vector<TargetState> m_targets;
+    std::vector<Ticket> m_queue;
+    /// Tickets of the current decide() that went on waiting before the one that is decided.
+    std::size_t m_ahead = 0;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/httpclientconnection.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "base/intrusivelist.h"
+#include "base/intrusiveptr.h"
+#include "base/itimerservice.h"
+#include "estate/address.h"
+#include "http/httpmessageparser.h"
+
+#include <asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+
+namespace lycheebay {
+
+/// How one exchange on a client connection ended.
+enum class TransferResult {
+    Answered,  ///< a complete response was read
+    NotSent,   ///< no byte of the request can have reached the peer
+    Lost,      ///< the connection ended before a complete response; the peer may have acted
+    Malformed, ///< the peer sent bytes that are no response; it may have acted
+};
+
+/// Time bounds of a client connection.
+struct ClientConnectionTimeouts
+{
+    /// Bound for the TCP handshake.
+    Duration connect = std::chrono::milliseconds(500);
+    /// Bound for unacknowledged bytes (TCP_USER_TIMEOUT); ends a connection that went silent.
+    Duration unacknowledged = std::chrono::milliseconds(1500);
+    /// Interval of TCP keep-alive probes; ends a silent connection that only waits for an answer.
+    /// Zero sends none.
+    Duration keepAlive{};
+
+    auto operator<=>(const ClientConnectionTimeouts &) const = default;
+};
+
+/// One TCP connection to an HTTP/1.1 server, with one exchange at a time. It never sends a request
+/// twice and never reconnects. Not thread-safe: use it on its event loop only.
+class HttpClientConnection final : public RefCounted, public ListNode<HttpClientConnection>
+{
+public:
+    using Done = std::function<void(TransferResult result, HttpResponse response)>;
+    /// Tells whether a response belongs to the request that was sent; one that does not is dropped.
+    using Filter = std::function<bool(const HttpResponse &)>;
+
+    HttpClientConnection(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                         const Address &address, const ClientConnectionTimeouts &timeouts);
+
+    /// Sends \a bytes, connecting first if needed, and calls \a done once, unless close() comes
+    /// before. Precondition: no exchange is running and isOpen().
+    void send(std::string bytes, bool isHead, Filter filter, Done done);
+
+    /// Ends the connection without calling the done callback.
+    void close();
+
+    /// True until the connection ended or turned out to be unusable.
+    bool isOpen() const { return !m_closed; }
+    bool isConnected() const { return m_connected; }
+    bool isBusy() const { return static_cast<bool>(m_done); }
+    /// True if an idle connection may carry a further request: it was used less than \a maxIdle ago,
+    /// and less than what the server told.
+    bool isReusable(TimePoint now, Duration maxIdle) const;
+
+private:
+    void connect();
+    void write();
+    void read();
+    void onRead(asio::error_code ec, std::size_t n);
+    void onResponse();
+    void noteIdleLimit(const HttpResponse &response);
+    void end(TransferResult result, HttpResponse response = {});
+
+    asio::ip::tcp::socket m_socket;
+    ITimerService &m_timers;
+    const IClock &m_clock;
+    const Address m_address;
+    const ClientConnectionTimeouts m_timeouts;
+    TimerSubscription m_connectTimer;
+    HttpMessageParser m_parser{ HttpMessageParser::Kind::Response };
+    std::array<char, 16384> m_buffer{};
+    std::string m_output;
+    Filter m_filter;
+    Done m_done;
+    TimePoint m_idleSince;
+    Duration m_serverIdleLimit = Duration::max();
+    bool m_connected = false;
+    bool m_reading = false;
+    bool m_writing = false;
+    bool m_closed = false;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/httplistener.cpp
@@ -0,0 +1,107 @@
+#include "http/httplistener.h"
+
+#include "http/internal/httpsession.h"
+
+#include <fmt/format.h>
+
+namespace lycheebay {
+
+namespace {
+
+// How often idle and half-sent requests are looked for; far below the limits they are held to.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+// Pause after an accept that failed, as when no descriptor is free.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+HttpExchange::HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request)
+    : m_session(std::move(session))
+    , m_request(std::move(request))
+{}
+
+HttpExchange::~HttpExchange() = default;
+
+void HttpExchange::respond(const HttpResponse &response, bool closes)
+{
+    m_callerGone = nullptr;
+    m_session->respond(*this, response, closes);
+}
+
+HttpListener::HttpListener(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                           Handler handler)
+    : m_context(context)
+    , m_clock(clock)
+    , m_handler(std::move(handler))
+    , m_acceptor(context)
+    , m_timers(timers)
+{}
+
+HttpListener::~HttpListener()
+{
+    closeAll();
+}
+
+absl::Status HttpListener::start(const Address &address)
+{
+    asio::error_code ec;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, ec), address.port);
+    if (!ec)
+        m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec) {
+        return absl::UnavailableError(
+                fmt::format("cannot listen on {}: {}", address.toString(), ec.message()));
+    }
+    m_sweep = m_timers.every(kSweepPeriod, [this] { closeExpired(); });
+    accept();
+    return absl::OkStatus();
+}
+
+void HttpListener::stopAccepting()
+{
+    asio::error_code ec;
+    m_acceptor.close(ec);
+}
+
+void HttpListener::closeAll()
+{
+    while (HttpSession *session = m_sessions.front())
+        session->close();
+}
+
+void HttpListener::accept()
+{
+    m_acceptor.async_accept([this](asio::error_code ec, asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (ec) {
+            m_acceptRetry = m_timers.after(kAcceptRetryDelay, [this] { accept(); });
+            return;
+        }
+        if (m_connectionCount < m_limits.connections) {
+            auto session = makeRef<HttpSession>(*this, std::move(socket));
+            m_sessions.pushBack(session.get());
+            session.get()->addRef(); // the listener's reference, given up in HttpSession::close()
+            session->start();
+        }
+        accept();
+    });
+}
+
+void HttpListener::closeExpired()
+{
+    const TimePoint now = m_clock.now();
+    for (HttpSession *it = m_sessions.front(); it;) {
+        HttpSession *next = m_sessions.next(it);
+        it->closeIfExpired(now);
+        it = next;
+    }
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/httplistener.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/intrusivelist.h"
+#include "base/intrusiveptr.h"
+#include "base/itimerservice.h"
+#include "estate/address.h"
+#include "http/httpmessageparser.h"
+
+#include <absl/status/status.h>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+
+namespace lycheebay {
+
+class HttpSession;
+
+/// One request of a caller, waiting for its response. Not thread-safe: use it on its event loop.
+class HttpExchange final : public RefCounted
+{
+public:
+    HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request);
+    ~HttpExchange() override;
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
+    const HttpRequest &request() const { return m_request; }
+
+    /// Sends the response; \a closes ends the connection after it. Does nothing when the caller has
+    /// gone or a response was sent before.
+    void respond(const HttpResponse &response, bool closes = false);
+    /// Calls \a callback once if the caller ends the connection before the response.
+    void onCallerGone(std::function<void()> callback) { m_callerGone = std::move(callback); }
+
+private:
+    friend class HttpSession;
+
+    IntrusivePtr<HttpSession> m_session;
+    const HttpRequest m_request;
+    std::function<void()> m_callerGone;
+};
+
+/// Bounds for the connections of a listener.
+struct HttpListenerLimits
+{
+    HttpMessageLimits message;
+    /// Longest time from the first byte of a request to its last.
+    Duration request = std::chrono::seconds(10);
+    /// Longest time without a request on an open connection.
+    Duration idle = std::chrono::seconds(60);
+    /// Further connections are closed at once.
+    std::size_t connections = 2000;
+
+    auto operator<=>(const HttpListenerLimits &) const = default;
+};
+
+/// Accepts HTTP/1.1 connections on an event loop and passes their requests to a handler.
+/// Not thread-safe: use it on its event loop.
+class HttpListener final
+{
+public:
+    using Handler = std::function<void(const IntrusivePtr<HttpExchange> &exchange)>;
+
+    HttpListener(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                 Handler handler);
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
+
+    /// Binds and starts accepting. Errors: Unavailable, naming the address.
+    absl::Status start(const Address &address);
+    /// Stops accepting; open connections go on.
+    void stopAccepting();
+    /// Ends every connection, also those with a request.
+    void closeAll();
+    /// From now on every response ends its connection.
+    void closeAfterResponses() { m_closesAfterResponses = true; }
+
+    void setLimits(const HttpListenerLimits &limits) { m_limits = limits; }
+    const HttpListenerLimits &limits() const { return m_limits; }
+
+    /// Port that was bound; useful when port 0 was asked for. Precondition: start() succeeded.
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    std::size_t connectionCount() const { return m_connectionCount; }
+    /// Requests that wait for their response.
+    std::size_t pendingCount() const { return m_pendingCount; }
+
+private:
+    friend class HttpSession;
+
+    void accept();
+    void closeExpired();
+
+    asio::io_context &m_context;
+    const IClock &m_clock;
+    const Handler m_handler;
+    HttpListenerLimits m_limits;
+    asio::ip::tcp::acceptor m_acceptor;
+    TimerSubscription m_sweep;
+    TimerSubscription m_acceptRetry;
+    ITimerService &m_timers;
+    IntrusiveList<HttpSession, HttpListener> m_sessions;
+    std::size_t m_connectionCount = 0;
+    std::size_t m_pendingCount = 0;
+    bool m_closesAfterResponses = false;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/httpmessageparser.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "outcomes/httpmessage.h"
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string_view>
+
+namespace lycheebay {
+
+/// Bounds of one HTTP message, in bytes.
+struct HttpMessageLimits
+{
+    std::size_t headBytes = 64UL << 10U;
+    std::size_t bodyBytes = 64UL << 20U;
+
+    auto operator<=>(const HttpMessageLimits &) const = default;
+};
+
+/// Parses one HTTP/1.1 message after another from the bytes of a connection.
+/// Not thread-safe: one parser per connection.
+class HttpMessageParser
+{
+public:
+    enum class Kind { Request, Response };
+    enum class State { Incomplete, Complete, Malformed, HeadTooLarge, BodyTooLarge };
+
+    explicit HttpMessageParser(Kind kind, const HttpMessageLimits &limits = {});
+    HttpMessageParser(const HttpMessageParser &) = delete;
+    HttpMessageParser &operator=(const HttpMessageParser &) = delete;
+
+    /// Consumes bytes up to the end of the current message and returns how many.
+    /// Precondition: state() is Incomplete.
+    std::size_t feed(std::string_view bytes);
+    /// Tells that the peer ended the connection; completes a response that has no length.
+    /// Precondition: state() is Incomplete.
+    void finish();
+    /// Prepares for the next message of the connection. \a bodyless tells that the next response
+    /// answers HEAD.
+    void restart(bool bodyless = false);
+
+    State state() const { return m_state; }
+    /// True once a byte of the current message was consumed.
+    bool hasStarted() const { return m_started; }
+    /// True once the head of the current message is complete.
+    bool isHeadComplete() const { return m_headComplete; }
+    /// True if the connection can carry another message. Precondition: state() is Complete.
+    bool isKeepAlive() const { return m_keepAlive; }
+
+    /// Head and body of the request as far as they were read.
+    const HttpRequest &request() const { return m_request; }
+    /// Precondition: the parser reads requests and state() is Complete.
+    HttpRequest takeRequest() { return std::move(m_request); }
+    /// Precondition: the parser reads responses and state() is Complete.
+    HttpResponse takeResponse() { return std::move(m_response); }
+
+private:
+    friend struct HttpParserCallbacks;
+
+    HttpHeaders &headers();
+    std::string &body();
+    bool countHeadBytes(std::size_t n);
+
+    const Kind m_kind;
+    const HttpMessageLimits m_limits;
+    http_parser m_parser{};
+    State m_state = State::Incomplete;
+    bool m_started = false;
+    bool m_headComplete = false;
+    bool m_keepAlive = false;
+    bool m_bodyless = false;
+    bool m_inHeaderValue = false;
+    std::size_t m_headBytes = 0;
+    HttpRequest m_request;
+    HttpResponse m_response;
+};
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/httpserialization.cpp
@@ -0,0 +1,60 @@
+#include "http/httpserialization.h"
+
+#include <fmt/format.h>
+#include <http_parser.h>
+
+#include <iterator>
+
+namespace lycheebay {
+
+namespace {
+
+void appendHeaders(std::string &text, const HttpHeaders &headers)
+{
+    for (const HttpHeader &it : headers)
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", it.name, it.value);
+}
+
+bool hasNoBody(int status)
+{
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+    return status == kNoContent || status == kNotModified;
+}
+
+} // namespace
+
+std::string serializeRequest(const HttpRequest &request)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    appendHeaders(text, request.headers);
+    const bool bodyExpected =
+            request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    if (!request.body.empty() || bodyExpected)
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request.body.size());
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::string serializeResponse(const HttpResponse &response, const HttpRequest &request, bool closes)
+{
+    const char *reason = http_status_str(static_cast<http_status>(response.status));
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, reason);
+    appendHeaders(text, response.headers);
+    if (!hasNoBody(response.status))
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", response.body.size());
+    if (closes)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    if (request.method != "HEAD" && !hasNoBody(response.status))
+        text += response.body;
+    return text;
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    return HttpResponse{ status, { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/internal/httpsession.cpp
@@ -0,0 +1,177 @@
+#include "http/internal/httpsession.h"
+
+#include "http/httpserialization.h"
+
+#include <asio/write.hpp>
+
+namespace lycheebay {
+
+namespace {
+
+// Bytes read ahead while a request runs; a caller that sends more waits.
+constexpr std::size_t kReadAheadBytes = 64UL << 10U;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr int kBadRequest = 400;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+} // namespace
+
+HttpSession::HttpSession(HttpListener &listener, asio::ip::tcp::socket socket)
+    : m_listener(&listener)
+    , m_socket(std::move(socket))
+    , m_parser(HttpMessageParser::Kind::Request, listener.m_limits.message)
+    , m_since(listener.m_clock.now())
+{
+    ++m_listener->m_connectionCount;
+}
+
+void HttpSession::start()
+{
+    asio::error_code ec;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    read();
+}
+
+void HttpSession::close()
+{
+    if (!m_listener)
+        return;
+    const IntrusivePtr<HttpSession> self(this);
+    --m_listener->m_connectionCount;
+    if (m_exchange)
+        --m_listener->m_pendingCount;
+    m_listener = nullptr;
+    unlink();
+    release(); // the listener's reference
+    asio::error_code ec;
+    m_socket.close(ec);
+}
+
+void HttpSession::closeIfExpired(TimePoint now)
+{
+    if (m_exchange || m_writing)
+        return;
+    const HttpListenerLimits &limits = m_listener->m_limits;
+    const bool midRequest = m_parser.hasStarted();
+    if (now - m_since > (midRequest ? limits.request : limits.idle))
+        close();
+}
+
+void HttpSession::read()
+{
+    if (m_reading || !m_listener || m_input.size() > kReadAheadBytes)
+        return;
+    m_reading = true;
+    const IntrusivePtr<HttpSession> self(this);
+    m_socket.async_read_some(asio::buffer(m_buffer), [self](asio::error_code ec, std::size_t n) {
+        self->m_reading = false;
+        if (self->m_listener)
+            self->onRead(ec, n);
+    });
+}
+
+void HttpSession::onRead(asio::error_code ec, std::size_t n)
+{
+    if (ec) {
+        const IntrusivePtr<HttpSession> self(this);
+        close();
+        callerGone();
+        return;
+    }
+    m_input.append(m_buffer.data(), n);
+    if (!m_exchange && !m_writing)
+        parse();
+    read();
+}
+
+void HttpSession::parse()
+{
+    const bool wasStarted = m_parser.hasStarted();
+    const bool headWasComplete = m_parser.isHeadComplete();
+    m_input.erase(0, m_parser.feed(m_input));
+    if (!wasStarted && m_parser.hasStarted())
+        m_since = m_listener->m_clock.now();
+    if (m_parser.state() == HttpMessageParser::State::Incomplete) {
+        // The caller waits for leave to send its body (RFC 9110, 10.1.1).
+        if (!headWasComplete && m_parser.isHeadComplete()
+            && findHeader(m_parser.request().headers, "Expect")) {
+            asio::error_code ec;
+            asio::write(m_socket, asio::buffer(kContinue), ec);
+            if (ec)
+                close();
+        }
+        return;
+    }
+    if (m_parser.state() != HttpMessageParser::State::Complete) {
+        reject(m_parser.state());
+        return;
+    }
+    m_lastRequest = !m_parser.isKeepAlive();
+    const auto exchange =
+            makeRef<HttpExchange>(IntrusivePtr<HttpSession>(this), m_parser.takeRequest());
+    m_parser.restart();
+    m_exchange = exchange.get();
+    ++m_listener->m_pendingCount;
+    m_listener->m_handler(exchange);
+}
+
+void HttpSession::reject(HttpMessageParser::State state)
+{
+    int status = kBadRequest;
+    if (state == HttpMessageParser::State::BodyTooLarge)
+        status = kBodyTooLarge;
+    if (state == HttpMessageParser::State::HeadTooLarge)
+        status = kHeadTooLarge;
+    write(serializeResponse(HttpResponse{ status, {}, {} }, HttpRequest{}, true), true);
+}
+
+void HttpSession::respond(const HttpExchange &exchange, const HttpResponse &response, bool closes)
+{
+    if (m_exchange != &exchange)
+        return;
+    m_exchange = nullptr;
+    if (!m_listener)
+        return;
+    --m_listener->m_pendingCount;
+    const bool last = closes || m_lastRequest || m_listener->m_closesAfterResponses;
+    write(serializeResponse(response, exchange.request(), last), last);
+}
+
+void HttpSession::write(std::string bytes, bool closes)
+{
+    m_writing = true;
+    m_output = std::move(bytes);
+    const IntrusivePtr<HttpSession> self(this);
+    asio::async_write(
+            m_socket, asio::buffer(m_output), [self, closes](asio::error_code ec, std::size_t) {
+                self->m_writing = false;
+                if (!self->m_listener)
+                    return;
+                if (ec || closes) {
+                    asio::error_code ignored; // the peer may have closed first
+                    self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                    self->close();
+                    return;
+                }
+                self->m_since = self->m_listener->m_clock.now();
+                if (!self->m_input.empty())
+                    self->parse();
+                self->read();
+            });
+}
+
+void HttpSession::callerGone()
+{
+    if (!m_exchange)
+        return;
+    const IntrusivePtr<HttpExchange> exchange(m_exchange);
+    m_exchange = nullptr;
+    const auto callback = std::move(exchange->m_callerGone);
+    exchange->m_callerGone = nullptr;
+    if (callback)
+        callback();
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/internal/httpsession.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "http/httplistener.h"
+
+#include <array>
+
+namespace lycheebay {
+
+/// One connection of a caller. Reads ahead while a request runs, to notice a caller that leaves.
+class HttpSession final : public RefCounted, public ListNode<HttpListener>
+{
+public:
+    HttpSession(HttpListener &listener, asio::ip::tcp::socket socket);
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+
+    void start();
+    void respond(const HttpExchange &exchange, const HttpResponse &response, bool closes);
+    void close();
+    /// Ends the connection if it is idle, or its request incomplete, for too long.
+    void closeIfExpired(TimePoint now);
+private:
+    void read();
+    void onRead(asio::error_code ec, std::size_t n);
+    void parse();
+    void reject(HttpMessageParser::State state);
+    void write(std::string bytes, bool closes);
+    void callerGone();
+
+    /// Null once the connection is closed.
+    HttpListener *m_listener;
+    asio::ip::tcp::socket m_socket;
+    HttpMessageParser m_parser;
+    std::array<char, 8192> m_buffer{};
+    std::string m_input;
+    std::string m_output;
+    /// The request that runs; it holds a reference to this session.
+    HttpExchange *m_exchange = nullptr;
+    TimePoint m_since;
+    bool m_reading = false;
+    bool m_lastRequest = false;
+    bool m_writing = false;
+};
+
+} // namespace lycheebay
