--- a/src/base/intrusiveptr.h
+++ b/src/base/intrusiveptr.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <utility>
 
 namespace lycheebay {
@@ -85,6 +86,11 @@
     {
         return a.m_object == b.m_object;
     }
+    /// Orders by address, for use as a key.
+    friend bool operator<(const IntrusivePtr &a, const IntrusivePtr &b)
+    {
+        return std::less<>()(a.m_object, b.m_object);
+    }
 
 private:
     T *m_object = nullptr;
--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -24,10 +24,15 @@
     const DomainRegions &regions;
 };
 
-/// Returns the instances that dispatch to the targets of \a service in \a failureDomain, the first
-/// one being the owner, at most \a count. Chosen by rendezvous hashing (Thaler and Ravishankar,
-/// 1998), so that an instance that leaves moves only its own services. Thread-safe.
-std::vector<GatewayInstance> dispatchersOf(const InstanceList &instances, std::string_view service,
+/// Returns the name of the group of services that \a service belongs to. Services that share a host
+/// are in one group, since callers choose an instance for a host: one instance then counts all
+/// requests at its targets. Thread-safe.
+std::string dispatchGroup(const GatewayConfiguration &configuration, const std::string &service);
+
+/// Returns the instances that dispatch for a group of services to the targets in \a failureDomain,
+/// the first one being the owner, at most \a count. Chosen by rendezvous hashing (Thaler and
+/// Ravishankar, 1998), so that an instance that leaves moves only its own groups. Thread-safe.
+std::vector<GatewayInstance> dispatchersOf(const InstanceList &instances, std::string_view group,
                                            std::string_view failureDomain, std::size_t count);
 
 /// Who asks for addresses.
@@ -36,6 +41,7 @@
     /// Normalized host that the caller wants to reach.
     std::string host;
     std::string failureDomain;
+    std::string region;
 
     auto operator<=>(const AddressQuery &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -207,8 +207,9 @@
     const auto instances = m_blackboard.instances.read();
     if (!instances || m_context.clock.now() - m_startedAt < kColdHoldAfterStart)
         return false;
-    const auto dispatchers =
-            dispatchersOf(*instances, service, m_settings.failureDomain, kColdDispatchers);
+    const auto configuration = m_blackboard.configuration.read();
+    const auto dispatchers = dispatchersOf(*instances, dispatchGroup(*configuration, service),
+                                           m_settings.failureDomain, kColdDispatchers);
     return std::any_of(
             dispatchers.begin(), dispatchers.end(),
             [&](const GatewayInstance &it) { return it.id == m_settings.instanceId; });
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -127,7 +127,10 @@
     const Choice choice = fastest(free, now);
     const TimePoint latestStart = ticket.objective - m_workTime.usual();
     const bool inTime = choice.target && now + choice.expected <= ticket.objective;
-    const bool tooLateAnyway = choice.target && now >= latestStart;
+    // A late answer is better than none, but a run that the caller does not wait for takes a slot
+    // from others.
+    const bool tooLateAnyway =
+            choice.target && now >= latestStart && now + choice.expected <= ticket.giveUp;
     if (inTime || tooLateAnyway) {
         place(ticket, choice, now, decisions);
         return true;
