--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -22,7 +22,7 @@
     bool leaving = false;
     /// Start of this incarnation, in milliseconds since the Unix epoch.
     std::int64_t startedAtMs = 0;
-    /// The target is cold until then, as far as its registration tells.
+    /// The target is cold until then, as far as its registration tells; the epoch if it is not.
     TimePoint coldUntil;
 
     auto operator<=>(const TargetRecord &) const = default;
--- /dev/null
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -0,0 +1,264 @@
+#include "gateway/relay/estatecoordinator.h"
+
+#include "base/log.h"
+#include "base/seconds.h"
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A target that drains must get no request two seconds after the platform accepted its word. The
+// reader's period, the delay of the news and the time to notice a silent reader stay within that.
+constexpr Duration kReadPeriod = milliseconds(1000);
+constexpr Duration kLateNews = milliseconds(1500);
+// Period of an instance without news that serves no requests.
+constexpr Duration kIdleReadPeriod = seconds(6);
+// An instance that served no request for this long counts as idle.
+constexpr Duration kIdleAfter = seconds(3);
+// Pause after a failed read, spread by half either way.
+constexpr Duration kRetryPause = milliseconds(300);
+// A request does not wait longer than this for a read; the last known list serves then.
+constexpr Duration kLongestRequestWait = milliseconds(250);
+// Waits of one read of the configuration: short where a missed change must be found in time, long
+// where the reader's news would show it.
+constexpr Duration kShortWait = milliseconds(1000);
+constexpr Duration kLongWait = seconds(20);
+
+constexpr char kReaderGroup[] = "estate-reader";
+
+} // namespace
+
+EstateCoordinator::EstateCoordinator(ITimerService &timers, const IClock &clock,
+                                     IRandomSource &random, GatewayBlackboard &blackboard,
+                                     IEstateSource &source, IPeerLinks &links, Settings settings)
+    : m_timers(timers)
+    , m_clock(clock)
+    , m_random(random)
+    , m_blackboard(blackboard)
+    , m_source(source)
+    , m_links(links)
+    , m_settings(std::move(settings))
+    , m_logger(componentLogger("estate"))
+{
+    m_blackboard.instances.subscribe(
+            [this](const IntrusivePtr<const InstanceList> &it) { instancesChanged(*it); });
+}
+
+absl::Status EstateCoordinator::start()
+{
+    const absl::Status status = m_links.start(this);
+    if (!status.ok())
+        return status;
+    m_source.start(*this);
+    m_source.readTargets();
+    return absl::OkStatus();
+}
+
+void EstateCoordinator::instancesChanged(const InstanceList &instances)
+{
+    InstanceList region;
+    for (const GatewayInstance &it : instances.instances) {
+        const auto known = m_settings.regions.find(it.failureDomain);
+        if (known != m_settings.regions.end() && known->second == m_settings.region)
+            region.instances.push_back(it);
+    }
+    // Ranked as if they were in one failure domain: one reader serves the whole region.
+    for (GatewayInstance &it : region.instances)
+        it.failureDomain.clear();
+    const auto readers = dispatchersOf(region, kReaderGroup, "", 1);
+    const std::string reader = readers.empty() ? m_settings.instanceId : readers.front().id;
+    if (reader == m_reader)
+        return;
+    m_reader = reader;
+    m_role = reader == m_settings.instanceId ? Role::Reader : Role::Follower;
+    LOG4CPLUS_INFO(m_logger, "event=reader_chosen reader=" << reader << " self="
+                                                           << (m_role == Role::Reader));
+    if (m_role == Role::Reader)
+        m_links.setDesired({});
+    else
+        m_links.setDesired({ { readers.front().address.host, m_settings.relayPort } });
+    chooseConfigurationWait();
+    schedule();
+}
+
+bool EstateCoordinator::isRecent(Duration age) const
+{
+    return m_asOf && m_clock.now() - *m_asOf <= age;
+}
+
+Duration EstateCoordinator::readDelay() const
+{
+    const TimePoint now = m_clock.now();
+    if (!m_lastReadAt)
+        return Duration::zero();
+    const TimePoint last = *m_lastReadAt;
+    if (m_failures > 0) {
+        const double spread = 0.5 + m_random.uniform();
+        return last + fromSeconds(toSeconds(kRetryPause) * spread) - now;
+    }
+    if (m_role == Role::Reader)
+        return last + kReadPeriod - now;
+    const bool inUse = m_lastUseAt && now - *m_lastUseAt < kIdleAfter;
+    const TimePoint late = m_asOf ? *m_asOf + kLateNews : now;
+    const TimePoint next = last + (inUse ? kReadPeriod : kIdleReadPeriod);
+    return std::max(late, next) - now;
+}
+
+void EstateCoordinator::schedule()
+{
+    m_timer = m_timers.after(std::max(readDelay(), Duration::zero()), [this] {
+        chooseConfigurationWait();
+        // News may have come since the timer was set.
+        if (readDelay() > Duration::zero()) {
+            schedule();
+            return;
+        }
+        m_lastReadAt = m_clock.now();
+        m_source.readTargets();
+    });
+}
+
+void EstateCoordinator::chooseConfigurationWait()
+{
+    const bool relies = m_role == Role::Follower && m_readerLink && isRecent(kLateNews);
+    m_source.setConfigurationWait(relies ? kLongWait : kShortWait);
+}
+
+void EstateCoordinator::targetsRead(const IntrusivePtr<const TargetList> &targets,
+                                    TimePoint startedAt)
+{
+    m_lastReadAt = startedAt;
+    if (targets) {
+        m_failures = 0;
+        m_asOf = std::max(m_asOf.value_or(startedAt), startedAt);
+        publish(targets);
+        if (m_role == Role::Reader)
+            sendNews();
+    } else {
+        ++m_failures;
+    }
+    releaseWaiting();
+    schedule();
+}
+
+void EstateCoordinator::configurationRead()
+{
+    if (m_role == Role::Reader)
+        sendNews();
+}
+
+void EstateCoordinator::publish(const IntrusivePtr<const TargetList> &targets)
+{
+    const auto current = m_blackboard.targets.read();
+    if (current && *current == *targets)
+        return;
+    const auto leaving = std::count_if(targets->targets.begin(), targets->targets.end(),
+                                       [](const TargetRecord &it) { return it.leaving; });
+    LOG4CPLUS_INFO(m_logger, "event=targets_changed targets=" << targets->targets.size()
+                                                              << " leaving=" << leaving);
+    m_blackboard.targets.publish(targets);
+}
+
+void EstateCoordinator::sendNews()
+{
+    for (const auto &[link, list] : m_followers)
+        sendNewsTo(link);
+}
+
+void EstateCoordinator::sendNewsTo(LinkId link)
+{
+    if (!m_asOf)
+        return;
+    EstateNews news{ *m_asOf, m_source.configurationPosition(), nullptr };
+    const auto current = m_blackboard.targets.read();
+    auto &sent = m_followers[link];
+    if (current && !(sent == current)) {
+        news.targets = current;
+        sent = current;
+    }
+    m_links.send(link, encodeNews(news, m_clock.now()));
+}
+
+void EstateCoordinator::linkOpened(LinkId link, bool outbound, const Address &remote)
+{
+    if (outbound) {
+        m_readerLink = link;
+        LOG4CPLUS_INFO(m_logger, "event=dependency_regained dependency=reader address="
+                               << remote.toString());
+        return;
+    }
+    m_followers[link] = nullptr;
+    if (m_role == Role::Reader)
+        sendNewsTo(link);
+}
+
+absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
+{
+    if (m_readerLink != link)
+        return absl::InvalidArgumentError("news from an instance that is not the reader");
+    const auto news = decodeNews(frame, m_clock.now());
+    if (!news.ok())
+        return news.status();
+    m_source.catchUpConfiguration(news->configurationPosition);
+    if (news->targets)
+        m_relayed = news->targets;
+    // Older than what this instance read itself; the next news will be newer.
+    if (m_asOf && news->asOf < *m_asOf)
+        return absl::OkStatus();
+    m_asOf = news->asOf;
+    m_failures = 0;
+    if (m_relayed)
+        publish(m_relayed);
+    chooseConfigurationWait();
+    releaseWaiting();
+    return absl::OkStatus();
+}
+
+void EstateCoordinator::linkClosed(LinkId link)
+{
+    m_followers.erase(link);
+    if (m_readerLink != link)
+        return;
+    m_readerLink.reset();
+    m_relayed = nullptr;
+    LOG4CPLUS_INFO(m_logger, "event=dependency_lost dependency=reader");
+    chooseConfigurationWait();
+    schedule();
+}
+
+void EstateCoordinator::whenRecent(std::function<void()> done)
+{
+    if (isRecent(kLateNews)) {
+        done();
+        return;
+    }
+    m_waiting.push_back(std::move(done));
+    if (m_waiting.size() == 1)
+        m_waitTimer = m_timers.after(kLongestRequestWait, [this] { releaseWaiting(); });
+    m_source.readTargets();
+}
+
+void EstateCoordinator::releaseWaiting()
+{
+    m_waitTimer.reset();
+    const auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (const auto &it : waiting)
+        it();
+}
+
+void EstateCoordinator::noteUse()
+{
+    const TimePoint now = m_clock.now();
+    const bool wasIdle = !m_lastUseAt || now - *m_lastUseAt >= kIdleAfter;
+    m_lastUseAt = now;
+    if (wasIdle)
+        schedule();
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/relay/estatecoordinator.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "base/irandomsource.h"
+#include "base/itimerservice.h"
+#include "gateway/dispatchplan.h"
+#include "gateway/gateway.h"
+#include "gateway/gatewayblackboard.h"
+#include "gateway/relay/estatenews.h"
+#include "gateway/relay/iestatesource.h"
+#include "transport/ipeerlinks.h"
+
+#include <log4cplus/logger.h>
+
+#include <map>
+#include <optional>
+
+namespace lycheebay {
+
+/// Keeps the view of the estate recent at a low price: one instance a region, chosen by rendezvous
+/// hashing, reads the platform and passes the news on; the others read by themselves only when its
+/// news are late. Whether this instance reads is decided here; how it reads is the source's matter.
+/// Not thread-safe: use it, and call its link callbacks, on the event loop.
+class EstateCoordinator final
+    : public IEstateSourceListener
+    , public IPeerLinkListener
+    , public ITargetListRefresher
+{
+public:
+    struct Settings
+    {
+        std::string instanceId;
+        std::string region;
+        DomainRegions regions;
+        /// Port on which every instance takes links.
+        std::uint16_t relayPort = 0;
+    };
+
+    /// Precondition: all references outlive the coordinator.
+    EstateCoordinator(ITimerService &timers, const IClock &clock, IRandomSource &random,
+                      GatewayBlackboard &blackboard, IEstateSource &source, IPeerLinks &links,
+                      Settings settings);
+
+    /// Starts to read. Errors: Unavailable when the links cannot be started.
+    absl::Status start();
+
+    void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt) override;
+    void configurationRead() override;
+
+    void linkOpened(LinkId link, bool outbound, const Address &remote) override;
+    absl::Status frameReceived(LinkId link, std::string_view frame) override;
+    void linkClosed(LinkId link) override;
+
+    void whenRecent(std::function<void()> done) override;
+    void noteUse() override;
+
+private:
+    enum class Role { Reader, Follower };
+
+    void instancesChanged(const InstanceList &instances);
+    void schedule();
+    Duration readDelay() const;
+    bool isRecent(Duration age) const;
+    void chooseConfigurationWait();
+    void publish(const IntrusivePtr<const TargetList> &targets);
+    void sendNews();
+    void sendNewsTo(LinkId link);
+    void releaseWaiting();
+
+    ITimerService &m_timers;
+    const IClock &m_clock;
+    IRandomSource &m_random;
+    GatewayBlackboard &m_blackboard;
+    IEstateSource &m_source;
+    IPeerLinks &m_links;
+    const Settings m_settings;
+    const log4cplus::Logger m_logger;
+    Role m_role = Role::Follower;
+    std::string m_reader;
+    /// Links of instances that follow this one, with the list that each was sent last.
+    std::map<LinkId, IntrusivePtr<const TargetList>> m_followers;
+    std::optional<LinkId> m_readerLink;
+    /// The list that the reader sent last on its link.
+    IntrusivePtr<const TargetList> m_relayed;
+    std::optional<TimePoint> m_asOf;
+    std::optional<TimePoint> m_lastReadAt;
+    std::optional<TimePoint> m_lastUseAt;
+    int m_failures = 0;
+    TimerSubscription m_timer;
+    TimerSubscription m_waitTimer;
+    std::vector<std::function<void()>> m_waiting;
+};
+
+} // namespace lycheebay
--- a/src/transport/internal/peertransportimpl.h
+++ b/src/transport/internal/peertransportimpl.h
@@ -21,6 +21,8 @@
 
     absl::Status start(IPeerLinkListener *listener);
     void stop();
+    /// Does the work of stop(). Precondition: called on the thread of the loop.
+    void stopOnThread();
     void setDesired(std::vector<Address> addresses);
     void send(LinkId link, std::string frame);
     void close(LinkId link, std::string reason);
@@ -63,7 +65,7 @@
     void backOff(Desired &desired);
     LinkId open(asio::ip::tcp::socket socket, bool outbound, const Address &remote);
     void closed(LinkId link, const std::string &reason);
-    void stopOnThread();
+
 
     struct OpenLink
     {
--- a/src/transport/peertransport.cpp
+++ b/src/transport/peertransport.cpp
@@ -9,9 +9,14 @@
     : m_impl(std::make_shared<Impl>(thread.loop().context, std::move(settings)))
 {}
 
+PeerTransport::PeerTransport(asio::io_context &context, PeerTransportSettings settings)
+    : m_impl(std::make_shared<Impl>(context, std::move(settings)))
+    , m_onOwnersLoop(true)
+{}
+
 PeerTransport::~PeerTransport()
 {
-    m_impl->stop();
+    stop();
 }
 
 absl::Status PeerTransport::start(IPeerLinkListener *listener)
@@ -21,7 +26,10 @@
 
 void PeerTransport::stop()
 {
-    m_impl->stop();
+    if (m_onOwnersLoop)
+        m_impl->stopOnThread();
+    else
+        m_impl->stop();
 }
 
 void PeerTransport::setDesired(std::vector<Address> addresses)
--- a/src/transport/peertransport.h
+++ b/src/transport/peertransport.h
@@ -4,6 +4,8 @@
 #include "transport/iothread.h"
 #include "transport/ipeerlinks.h"
 
+#include <asio/io_context.hpp>
+
 #include <memory>
 
 namespace lycheebay {
@@ -33,6 +35,9 @@
 public:
     /// Precondition: \a thread outlives the transport.
     PeerTransport(IoThread &thread, PeerTransportSettings settings);
+    /// Runs on the event loop of its owner, on whose thread all methods must be called.
+    /// Precondition: \a context outlives the transport.
+    PeerTransport(asio::io_context &context, PeerTransportSettings settings);
     ~PeerTransport() override;
 
     absl::Status start(IPeerLinkListener *listener) override;
@@ -49,6 +54,8 @@
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
+    /// The loop is run by the caller, so that stopping must not wait for it.
+    bool m_onOwnersLoop = false;
 };
 
 } // namespace lycheebay
