--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -19,7 +19,7 @@
 export -f lint_one
 export build stamps headers
 
-git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'tools/*.cpp' |
+git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tools/*.cpp' |
   { grep -v '/tests/' || true; } |
   while read -r file; do if [ -e "$file" ]; then echo "$file"; fi; done |
   xargs -r -P "$(nproc)" -I{} bash -c 'lint_one {}'
--- a/src/gateway/dispatchplan.cpp
+++ b/src/gateway/dispatchplan.cpp
@@ -59,9 +59,9 @@
     return regions;
 }
 
-/// Callers choose an address for a host, not for a route, so routes with home regions bind the whole
-/// host. Where they contradict each other, those that change something go first, since their bodies
-/// are what the home regions protect.
+/// Callers choose an address for a host, not for a route, so routes with home regions bind the
+/// whole host. Where they contradict each other, those that change something go first, since their
+/// bodies are what the home regions protect.
 HostNeeds needsOf(const RoutedHost &host, const std::string &callerRegion)
 {
     HostNeeds needs;
@@ -89,8 +89,8 @@
     std::map<std::string, int> slots;
     for (const TargetRecord &it : inputs.targets.targets) {
         const bool usable = !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
-                && contains(needs.services, it.service)
-                && needs.allows(regionOf(inputs, it.failureDomain));
+                            && contains(needs.services, it.service)
+                            && needs.allows(regionOf(inputs, it.failureDomain));
         if (usable)
             slots[it.failureDomain] += it.slots;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,8 +81,8 @@
 bool Gateway::shouldEnd() const
 {
     return m_leaving
-            && m_leaving->shouldEnd(m_context.clock.now(), m_listener.pendingCount(),
-                                    m_listener.connectionCount());
+           && m_leaving->shouldEnd(m_context.clock.now(), m_listener.pendingCount(),
+                                   m_listener.connectionCount());
 }
 
 void Gateway::handle(const IntrusivePtr<HttpExchange> &exchange)
@@ -126,8 +126,8 @@
 void Gateway::refuse(HttpExchange &exchange, int status, const char *reason,
                      const CallerTerms &terms)
 {
-    HttpResponse response = jsonResponse(
-            status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
+    HttpResponse response =
+            jsonResponse(status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     if (status == kUnavailable)
         response.headers.push_back({ "Retry-After", kShortRetryAfter });
     LogFields fields("refused");
@@ -210,9 +210,8 @@
     const auto configuration = m_blackboard.configuration.read();
     const auto dispatchers = dispatchersOf(*instances, dispatchGroup(*configuration, service),
                                            m_settings.failureDomain, kColdDispatchers);
-    return std::any_of(
-            dispatchers.begin(), dispatchers.end(),
-            [&](const GatewayInstance &it) { return it.id == m_settings.instanceId; });
+    return std::any_of(dispatchers.begin(), dispatchers.end(),
+                       [&](const GatewayInstance &it) { return it.id == m_settings.instanceId; });
 }
 
 std::vector<PoolTarget> Gateway::poolTargets(const std::string &service) const
@@ -226,9 +225,10 @@
         if (it.service != service)
             continue;
         const auto region = m_settings.regions.find(it.failureDomain);
-        const bool isDrained = drained
+        const bool isDrained =
+                drained
                 && std::find(drained->domains.begin(), drained->domains.end(), it.failureDomain)
-                        != drained->domains.end();
+                           != drained->domains.end();
         selected.push_back({ it, region == m_settings.regions.end() ? "" : region->second,
                              proximityOf(it.failureDomain), isDrained });
     }
--- a/src/gateway/gatewayconfiguration.h
+++ b/src/gateway/gatewayconfiguration.h
@@ -93,7 +93,7 @@
     friend bool operator==(const GatewayConfiguration &a, const GatewayConfiguration &b)
     {
         return a.version == b.version && a.hosts == b.hosts && a.services == b.services
-                && a.limits == b.limits;
+               && a.limits == b.limits;
     }
 };
 
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -56,8 +56,7 @@
                                  "Calls to the platform's store by call and result."))
     , m_configurationVersion(gauge(m_registry, "lycheebay_gateway_configuration_version",
                                    "Version of the configuration in force."))
-    , m_instances(
-              gauge(m_registry, "lycheebay_gateway_instances", "Live gateway instances known."))
+    , m_instances(gauge(m_registry, "lycheebay_gateway_instances", "Live gateway instances known."))
     , m_targets(gauge(m_registry, "lycheebay_gateway_targets", "Targets known."))
     , m_droppedLogLines(gauge(m_registry, "lycheebay_gateway_log_lines_dropped",
                               "Log lines dropped because the reader was slow."))
--- a/src/gateway/internal/backendlink.cpp
+++ b/src/gateway/internal/backendlink.cpp
@@ -57,9 +57,7 @@
     m_probeConnection = m_probeConnections.acquire(kIdleLimitIdempotent);
     const IntrusivePtr<BackendLink> self(this);
     m_probeTimer = m_timers.after(kProbeTimeout, [self] { self->endProbe(nullptr); });
-    const HttpRequest request{
-        "GET", healthPath, { { "Host", m_record.address.toString() } }, {}
-    };
+    const HttpRequest request{ "GET", healthPath, { { "Host", m_record.address.toString() } }, {} };
     m_probeConnection->send(serializeRequest(request), false, nullptr,
                             [self](TransferResult result, const HttpResponse &response) {
                                 const bool answered = result == TransferResult::Answered;
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -22,9 +22,10 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// An attempt that takes this multiple of what was expected is taken for lost.
-constexpr int kLostAttemptFactor = 4;
-constexpr Duration kShortestAttemptTimeout = milliseconds(300);
+// An idempotent request whose answer takes this multiple of what was expected is also sent to a
+// second target. Lower values fill slots that other requests need.
+constexpr int kPatienceFactor = 3;
+constexpr Duration kShortestPatience = milliseconds(300);
 // An answer that takes this multiple of what was expected counts against the target when the
 // request had to be given up.
 constexpr double kSlowTargetFactor = 2.5;
@@ -33,8 +34,9 @@
 
 const char *verdictName(AttemptVerdict verdict)
 {
-    constexpr std::array kNames{ "served", "shed", "failed", "unreachable", "timed_out",
-                                 "abandoned" };
+    constexpr std::array kNames{
+        "served", "shed", "failed", "unreachable", "timed_out", "abandoned"
+    };
     return kNames.at(static_cast<std::size_t>(verdict));
 }
 
@@ -71,8 +73,8 @@
     const IntrusivePtr<ProxiedRequest> self(this);
     m_exchange->onCallerGone([self] { self->callerGone(); });
     const Duration left = m_ticket.giveUp - m_context.clock.now();
-    m_giveUpTimer = m_context.timers.after(std::max(left, Duration::zero()),
-                                           [self] { self->giveUp(); });
+    m_giveUpTimer =
+            m_context.timers.after(std::max(left, Duration::zero()), [self] { self->giveUp(); });
     m_dispatcher.retries().countRequest(m_context.clock.now());
     queue();
 }
@@ -80,15 +82,23 @@
 void ProxiedRequest::queue()
 {
     m_queued = true;
-    addRef(); // the dispatcher's reference, given up in placed(), refused() and on cancel
+    addRef(); // the dispatcher's reference, given up in placed(), refused() and leaveQueue()
     m_dispatcher.submit(m_ticket, *this);
 }
 
+void ProxiedRequest::leaveQueue()
+{
+    if (!m_queued)
+        return;
+    m_queued = false;
+    m_dispatcher.cancel(m_ticket.id);
+    release();
+}
+
 void ProxiedRequest::placed(const Placement &placement, const IntrusivePtr<BackendLink> &link)
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
-    m_link = link;
     ++m_attempts;
     m_context.metrics.observeQueueTime(elapsedSince(m_ticket.arrival));
     LogFields fields = logFields("placed");
@@ -101,41 +111,45 @@
     if (placement.loadAge)
         fields.addMs("load_age_ms", *placement.loadAge);
     m_context.log.write(fields);
-    sendAttempt(placement);
+    auto attempt = makeRef<ProxyAttempt>();
+    attempt->link = link;
+    attempt->sentAt = m_context.clock.now();
+    attempt->expected = placement.expected;
+    m_active.push_back(attempt);
+    m_ticket.tried.push_back(targetKey(placement.target));
+    send(attempt);
 }
 
-void ProxiedRequest::sendAttempt(const Placement &placement)
+void ProxiedRequest::send(const AttemptPtr &attempt)
 {
-    const TimePoint now = m_context.clock.now();
-    const Duration remaining = m_ticket.giveUp - now;
+    const Duration remaining = m_ticket.giveUp - attempt->sentAt;
     if (remaining < milliseconds(1)) {
-        finishAttempt(AttemptVerdict::Abandoned, std::nullopt);
+        finishAttempt(attempt, AttemptVerdict::Abandoned, std::nullopt);
         giveUp();
         return;
     }
-    m_sentAt = now;
-    m_expected = placement.expected;
-    m_ticket.tried.push_back(targetKey(placement.target));
-    m_connection = m_link->acquireConnection(m_route.repeatability);
-    if (!m_connection->isConnected())
+    attempt->connection = attempt->link->acquireConnection(m_route.repeatability);
+    if (!attempt->connection->isConnected())
         m_context.metrics.countConnectionOpened();
-    const HttpRequest request = attemptRequest(remaining);
+    const HttpRequest request = attemptRequest(attempt->link->record(), remaining);
     const IntrusivePtr<ProxiedRequest> self(this);
     const auto isOurs = [&protocol = m_context.protocol,
                          id = m_terms.attemptId](const HttpResponse &response) {
         const std::string answered = protocol.readTargetSignals(response).attemptId;
         return answered.empty() || answered == id;
     };
-    m_connection->send(serializeRequest(request), request.method == "HEAD", isOurs,
-                       [self](TransferResult result, HttpResponse response) {
-                           self->attemptEnded(result, std::move(response));
-                       });
-    const Duration patience = std::max(m_expected * kLostAttemptFactor, kShortestAttemptTimeout);
-    if (m_route.repeatability == Repeatability::Idempotent && patience < remaining)
-        m_attemptTimer = m_context.timers.after(patience, [self] { self->attemptTimedOut(); });
+    attempt->connection->send(serializeRequest(request), request.method == "HEAD", isOurs,
+                              [self, attempt](TransferResult result, HttpResponse response) {
+                                  self->transferEnded(attempt, result, std::move(response));
+                              });
+    const Duration patience = std::max(attempt->expected * kPatienceFactor, kShortestPatience);
+    if (isIdempotent() && patience < remaining) {
+        attempt->patienceTimer =
+                m_context.timers.after(patience, [self, attempt] { self->patienceEnded(attempt); });
+    }
 }
 
-HttpRequest ProxiedRequest::attemptRequest(Duration remaining) const
+HttpRequest ProxiedRequest::attemptRequest(const TargetRecord &target, Duration remaining) const
 {
     const HttpRequest &original = m_exchange->request();
     HttpRequest request{ original.method, original.target, {}, original.body };
@@ -144,60 +158,61 @@
     for (HttpHeader &it : endToEndHeaders(original.headers))
         request.headers.push_back(std::move(it));
     removeHeader(request.headers, "Expect");
-    m_context.protocol.addAttemptFields(request.headers, m_link->record().id, remaining);
+    m_context.protocol.addAttemptFields(request.headers, target.id, remaining);
     return request;
 }
 
-void ProxiedRequest::attemptEnded(TransferResult result, HttpResponse response)
+void ProxiedRequest::transferEnded(const AttemptPtr &attempt, TransferResult result,
+                                   HttpResponse response)
 {
-    m_attemptTimer.reset();
     if (result == TransferResult::NotSent) {
-        dropConnection();
-        finishAttempt(AttemptVerdict::Unreachable, std::nullopt);
-        if (!tryAgain("unreachable"))
+        finishAttempt(attempt, AttemptVerdict::Unreachable, std::nullopt);
+        if (!isPending() && !tryAgain("unreachable"))
             refuse("target_unreachable", kRefusalRetryAfter);
         return;
     }
     if (result != TransferResult::Answered) {
-        handleFailure(AttemptVerdict::Failed,
-                      result == TransferResult::Lost ? "connection_lost" : "malformed_answer");
+        finishAttempt(attempt, AttemptVerdict::Failed, std::nullopt);
+        handleFailure(result == TransferResult::Lost ? "connection_lost" : "malformed_answer");
         return;
     }
-    m_link->releaseConnection(m_connection);
-    m_connection = nullptr;
+    attempt->link->releaseConnection(attempt->connection);
     const TargetSignals signals = m_context.protocol.readTargetSignals(response);
     if (signals.notRun || signals.wrongTarget)
-        handleNotRun(std::move(response), signals);
+        handleNotRun(attempt, std::move(response), signals);
     else
-        handleResponse(std::move(response), signals, elapsedSince(m_sentAt));
+        handleResponse(attempt, std::move(response), signals);
 }
 
-void ProxiedRequest::handleResponse(HttpResponse response, const TargetSignals &signals,
-                                    Duration elapsed)
+void ProxiedRequest::handleResponse(const AttemptPtr &attempt, HttpResponse response,
+                                    const TargetSignals &signals)
 {
+    const Duration elapsed = elapsedSince(attempt->sentAt);
     const bool success = response.status >= kOk && response.status < kFirstError;
     if (success && !signals.sealed) {
         // A success that the target did not seal is not its answer.
-        handleFailure(AttemptVerdict::Failed, "unsealed_answer");
+        finishAttempt(attempt, AttemptVerdict::Failed, std::nullopt);
+        handleFailure("unsealed_answer");
         return;
     }
     if (response.status < kFirstServerError) {
-        finishAttempt(AttemptVerdict::Served, elapsed, signals);
+        finishAttempt(attempt, AttemptVerdict::Served, elapsed, signals);
         deliver(std::move(response));
         return;
     }
     m_runState = RunState::MayHaveRun;
-    finishAttempt(AttemptVerdict::Failed, elapsed, signals);
-    if (m_route.repeatability == Repeatability::Idempotent && tryAgain("server_error"))
+    finishAttempt(attempt, AttemptVerdict::Failed, elapsed, signals);
+    if (isIdempotent() && (isPending() || tryAgain("server_error")))
         return;
     deliver(std::move(response));
 }
 
-void ProxiedRequest::handleNotRun(HttpResponse response, const TargetSignals &signals)
+void ProxiedRequest::handleNotRun(const AttemptPtr &attempt, HttpResponse response,
+                                  const TargetSignals &signals)
 {
-    finishAttempt(signals.wrongTarget ? AttemptVerdict::Unreachable : AttemptVerdict::Shed,
+    finishAttempt(attempt, signals.wrongTarget ? AttemptVerdict::Unreachable : AttemptVerdict::Shed,
                   std::nullopt, signals);
-    if (tryAgain(signals.wrongTarget ? "wrong_target" : "shed"))
+    if (isPending() || tryAgain(signals.wrongTarget ? "wrong_target" : "shed"))
         return;
     if (response.status == kBadRequest)
         deliver(std::move(response));
@@ -205,27 +220,25 @@
         refuse("target_refused", kRefusalRetryAfter);
 }
 
-void ProxiedRequest::handleFailure(AttemptVerdict verdict, const char *what)
+void ProxiedRequest::handleFailure(const char *what)
 {
     m_runState = RunState::MayHaveRun;
-    dropConnection();
-    finishAttempt(verdict, std::nullopt);
-    if (m_route.repeatability == Repeatability::Idempotent && tryAgain(what))
+    if (isIdempotent() && (isPending() || tryAgain(what)))
         return;
     fail(kBadGateway, what);
 }
 
-void ProxiedRequest::attemptTimedOut()
+void ProxiedRequest::patienceEnded(const AttemptPtr &attempt)
 {
-    if (!m_connection || !mayTryAgain())
+    if (attempt->ended || m_queued)
         return;
-    handleFailure(AttemptVerdict::TimedOut, "no_answer");
+    tryAgain("slow_answer");
 }
 
 bool ProxiedRequest::mayTryAgain() const
 {
     return !m_ended && !m_callerGone && m_attempts < m_route.maxAttempts
-            && m_context.clock.now() < m_ticket.giveUp;
+           && m_context.clock.now() < m_ticket.giveUp;
 }
 
 bool ProxiedRequest::tryAgain(const char *why)
@@ -249,7 +262,8 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
-    refuse(refusalName(refusal.reason), refusal.retryAfter);
+    if (!isPending())
+        refuse(refusalName(refusal.reason), refusal.retryAfter);
 }
 
 void ProxiedRequest::giveUp()
@@ -257,21 +271,12 @@
     const IntrusivePtr<ProxiedRequest> self(this);
     if (m_ended)
         return;
-    if (m_queued) {
-        m_queued = false;
-        m_dispatcher.cancel(m_ticket.id);
-        release();
+    leaveQueue();
+    abandonAttempts();
+    if (m_runState == RunState::NotRun)
         refuse("deadline", kRefusalRetryAfter);
-        return;
-    }
-    if (m_connection) {
-        m_runState = RunState::MayHaveRun;
-        const Duration elapsed = elapsedSince(m_sentAt);
-        const bool slow = toSeconds(elapsed) > toSeconds(m_expected) * kSlowTargetFactor;
-        dropConnection();
-        finishAttempt(slow ? AttemptVerdict::TimedOut : AttemptVerdict::Abandoned, elapsed);
-    }
-    fail(kGatewayTimeout, "deadline");
+    else
+        fail(kGatewayTimeout, "deadline");
 }
 
 void ProxiedRequest::callerGone()
@@ -280,19 +285,12 @@
     m_callerGone = true;
     if (m_ended)
         return;
-    if (m_queued) {
-        m_queued = false;
-        m_dispatcher.cancel(m_ticket.id);
-        release();
-    } else if (m_connection) {
-        if (m_route.repeatability == Repeatability::AtMostOnce) {
-            // The run may already have taken effect; it goes on and its answer is dropped.
-            return;
-        }
-        const Duration elapsed = elapsedSince(m_sentAt);
-        dropConnection();
-        finishAttempt(AttemptVerdict::Abandoned, elapsed);
-    }
+    leaveQueue();
+    // A run that must not be repeated may already have taken effect; it goes on and its answer is
+    // dropped.
+    if (!m_active.empty() && !isIdempotent())
+        return;
+    abandonAttempts();
     LogFields fields = logFields("caller_gone");
     fields.addMs("after_ms", elapsedSince(m_ticket.arrival));
     m_context.log.write(fields);
@@ -300,27 +298,33 @@
     end();
 }
 
-void ProxiedRequest::finishAttempt(AttemptVerdict verdict, std::optional<Duration> elapsed,
-                                   const TargetSignals &signals)
+void ProxiedRequest::finishAttempt(const AttemptPtr &attempt, AttemptVerdict verdict,
+                                   std::optional<Duration> elapsed, const TargetSignals &signals)
 {
-    m_attemptTimer.reset();
+    attempt->ended = true;
+    attempt->patienceTimer.reset();
+    std::erase(m_active, attempt);
     m_context.metrics.countAttempt(verdictName(verdict));
+    const std::string id = attempt->link->record().id;
     if (verdict != AttemptVerdict::Served) {
         LogFields fields = logFields("attempt_failed");
-        fields.add("target", m_link->record().id).add("verdict", verdictName(verdict));
-        fields.addMs("after_ms", elapsedSince(m_sentAt));
+        fields.add("target", id).add("verdict", verdictName(verdict));
+        fields.addMs("after_ms", elapsedSince(attempt->sentAt));
         m_context.log.write(fields);
     }
-    const std::string key = targetKey(m_link->record());
-    m_link = nullptr;
-    m_dispatcher.finish(key, verdict, elapsed, signals);
+    m_dispatcher.finish(targetKey(attempt->link->record()), verdict, elapsed, signals);
 }
 
-void ProxiedRequest::dropConnection()
+void ProxiedRequest::abandonAttempts()
 {
-    if (m_connection)
-        m_connection->close();
-    m_connection = nullptr;
+    const std::vector<AttemptPtr> attempts = m_active;
+    for (const AttemptPtr &it : attempts) {
+        m_runState = RunState::MayHaveRun;
+        const Duration elapsed = elapsedSince(it->sentAt);
+        const bool slow = toSeconds(elapsed) > toSeconds(it->expected) * kSlowTargetFactor;
+        it->connection->close();
+        finishAttempt(it, slow ? AttemptVerdict::TimedOut : AttemptVerdict::Abandoned, elapsed);
+    }
 }
 
 void ProxiedRequest::deliver(HttpResponse response)
@@ -359,6 +363,8 @@
     if (m_ended)
         return;
     const IntrusivePtr<ProxiedRequest> self(this);
+    leaveQueue();
+    abandonAttempts();
     const Duration latency = elapsedSince(m_ticket.arrival);
     m_context.metrics.countRequest(m_route.name, outcome);
     m_context.metrics.observeLatency(m_route.name, latency);
@@ -374,7 +380,6 @@
     m_ended = true;
     // The timers and the exchange hold references to this request.
     m_giveUpTimer.reset();
-    m_attemptTimer.reset();
     m_exchange->onCallerGone(nullptr);
 }
 
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -5,9 +5,22 @@
 
 namespace lycheebay {
 
+/// One sending of a request to a target.
+struct ProxyAttempt final : RefCounted
+{
+    IntrusivePtr<BackendLink> link;
+    IntrusivePtr<HttpClientConnection> connection;
+    TimePoint sentAt;
+    /// Time that the work was expected to take.
+    Duration expected{};
+    TimerSubscription patienceTimer;
+    bool ended = false;
+};
+
 /// One request of a caller from its arrival to its response: waits for a target, sends attempts,
-/// and answers. It never sends a request again that may have run and must not run twice.
-/// Not thread-safe: use it on the event loop.
+/// and answers. It never sends a request again that may have run and must not run twice. While an
+/// idempotent request waits unusually long for its answer, a second target is asked too, and the
+/// first answer counts. Not thread-safe: use it on the event loop.
 class ProxiedRequest final : public RefCounted, public IDispatchedRequest
 {
 public:
@@ -22,24 +35,32 @@
     void refused(const Refusal &refusal) override;
 
 private:
+    using AttemptPtr = IntrusivePtr<ProxyAttempt>;
+
     /// What is known of the runs of this request.
     enum class RunState { NotRun, MayHaveRun };
 
     void queue();
-    void sendAttempt(const Placement &placement);
-    HttpRequest attemptRequest(Duration remaining) const;
-    void attemptEnded(TransferResult result, HttpResponse response);
-    void handleResponse(HttpResponse response, const TargetSignals &signals, Duration elapsed);
-    void handleNotRun(HttpResponse response, const TargetSignals &signals);
-    void handleFailure(AttemptVerdict verdict, const char *what);
-    void attemptTimedOut();
+    void leaveQueue();
+    void send(const AttemptPtr &attempt);
+    HttpRequest attemptRequest(const TargetRecord &target, Duration remaining) const;
+    void transferEnded(const AttemptPtr &attempt, TransferResult result, HttpResponse response);
+    void handleResponse(const AttemptPtr &attempt, HttpResponse response,
+                        const TargetSignals &signals);
+    void handleNotRun(const AttemptPtr &attempt, HttpResponse response,
+                      const TargetSignals &signals);
+    void handleFailure(const char *what);
+    void patienceEnded(const AttemptPtr &attempt);
     void giveUp();
     void callerGone();
+    bool isIdempotent() const { return m_route.repeatability == Repeatability::Idempotent; }
     bool mayTryAgain() const;
     bool tryAgain(const char *why);
-    void finishAttempt(AttemptVerdict verdict, std::optional<Duration> elapsed,
-                       const TargetSignals &signals = {});
-    void dropConnection();
+    /// True while an answer may still come.
+    bool isPending() const { return m_queued || !m_active.empty(); }
+    void finishAttempt(const AttemptPtr &attempt, AttemptVerdict verdict,
+                       std::optional<Duration> elapsed, const TargetSignals &signals = {});
+    void abandonAttempts();
     void deliver(HttpResponse response);
     void refuse(const char *reason, Duration retryAfter);
     void fail(int status, const char *reason);
@@ -56,11 +77,7 @@
     const CallerTerms m_terms;
     Ticket m_ticket;
     TimerSubscription m_giveUpTimer;
-    TimerSubscription m_attemptTimer;
-    IntrusivePtr<BackendLink> m_link;
-    IntrusivePtr<HttpClientConnection> m_connection;
-    TimePoint m_sentAt;
-    Duration m_expected{};
+    std::vector<AttemptPtr> m_active;
     RunState m_runState = RunState::NotRun;
     int m_attempts = 0;
     bool m_queued = false;
--- /dev/null
+++ b/src/gateway/lycheebayprotocol.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "gateway/itargetprotocol.h"
+
+namespace lycheebay {
+
+/// The project's own header fields (docs/callers.md). Immutable and thread-safe.
+class LycheebayProtocol final : public ITargetProtocol
+{
+public:
+    CallerTerms readCallerTerms(const HttpRequest &request) const override;
+    TargetSignals readTargetSignals(const HttpResponse &response) const override;
+    void addAttemptFields(HttpHeaders &headers, const std::string &targetId,
+                          Duration remaining) const override;
+};
+
+} // namespace lycheebay
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -51,10 +51,11 @@
 
 absl::Status EstateCoordinator::start()
 {
-    const absl::Status status = m_links.start(this);
+    absl::Status status = m_links.start(this);
     if (!status.ok())
         return status;
     m_source.start(*this);
+    m_lastReadAt = m_clock.now();
     m_source.readTargets();
     return absl::OkStatus();
 }
@@ -76,8 +77,8 @@
         return;
     m_reader = reader;
     m_role = reader == m_settings.instanceId ? Role::Reader : Role::Follower;
-    LOG4CPLUS_INFO(m_logger, "event=reader_chosen reader=" << reader << " self="
-                                                           << (m_role == Role::Reader));
+    LOG4CPLUS_INFO(m_logger,
+                   "event=reader_chosen reader=" << reader << " self=" << (m_role == Role::Reader));
     if (m_role == Role::Reader)
         m_links.setDesired({});
     else
@@ -188,8 +189,8 @@
 {
     if (outbound) {
         m_readerLink = link;
-        LOG4CPLUS_INFO(m_logger, "event=dependency_regained dependency=reader address="
-                               << remote.toString());
+        LOG4CPLUS_INFO(m_logger,
+                       "event=dependency_regained dependency=reader address=" << remote.toString());
         return;
     }
     m_followers[link] = nullptr;
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -20,10 +20,9 @@
 /// hashing, reads the platform and passes the news on; the others read by themselves only when its
 /// news are late. Whether this instance reads is decided here; how it reads is the source's matter.
 /// Not thread-safe: use it, and call its link callbacks, on the event loop.
-class EstateCoordinator final
-    : public IEstateSourceListener
-    , public IPeerLinkListener
-    , public ITargetListRefresher
+class EstateCoordinator final : public IEstateSourceListener,
+                                public IPeerLinkListener,
+                                public ITargetListRefresher
 {
 public:
     struct Settings
--- a/src/gateway/relay/estatenews.cpp
+++ b/src/gateway/relay/estatenews.cpp
@@ -29,7 +29,8 @@
 absl::StatusOr<TargetRecord> decodeTarget(const relaywire::Target &target, TimePoint now)
 {
     const bool acceptable = isShort(target.id()) && isShort(target.service())
-            && isShort(target.host()) && isShort(target.failure_domain()) && target.slots() > 0;
+                            && isShort(target.host()) && isShort(target.failure_domain())
+                            && target.slots() > 0;
     if (!acceptable)
         return absl::InvalidArgumentError("target with a long name or without slots");
     TargetRecord record;
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -179,7 +179,7 @@
         // A failing target looks as slow as the retry that it is likely to cause; among equals the
         // one with more free slots is taken.
         const double fill = static_cast<double>(it->inFlight + foreignOf(*it, now))
-                / std::max(1, it->target.record.slots);
+                            / std::max(1, it->target.record.slots);
         const double cost =
                 toSeconds(expected) * (1 + 3 * it->health.failureShare()) * (1 + 0.2 * fill);
         if (!best.target || cost < bestCost) {
@@ -198,8 +198,8 @@
     if (isCold(target, now))
         target.nextColdStart = now + fromSeconds(1 / m_coldRequestsPerSecond);
     target.health.noteTrialStarted(now);
-    Placement placement{ ticket.id, target.target.record, choice.expected, std::nullopt,
-                         target.slowdown, m_ahead };
+    Placement placement{ ticket.id,    target.target.record, choice.expected,
+                         std::nullopt, target.slowdown,      m_ahead };
     if (target.loadAt)
         placement.loadAge = now - *target.loadAt;
     decisions.placements.push_back(std::move(placement));
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -183,8 +183,7 @@
                     PoolDecisions &decisions);
     /// Returns true if the ticket left the queue.
     bool decideTicket(const Ticket &ticket, TimePoint now, PoolDecisions &decisions);
-    void place(const Ticket &ticket, const Choice &choice, TimePoint now,
-               PoolDecisions &decisions);
+    void place(const Ticket &ticket, const Choice &choice, TimePoint now, PoolDecisions &decisions);
     void refuse(const Ticket &ticket, RefusalReason reason, TimePoint now,
                 PoolDecisions &decisions);
     Duration expectedWait(const std::vector<TargetState *> &targets, std::size_t ahead,
--- /dev/null
+++ b/src/gateway/tests/dispatchplantest.cpp
@@ -0,0 +1,171 @@
+#include "gateway/dispatchplan.h"
+#include "base/seededrandom.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+namespace lycheebay {
+
+class DispatchPlanTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchPlanTest);
+    CPPUNIT_TEST(lostInstanceMovesOnlyItsOwnGroups);
+    CPPUNIT_TEST(servicesThatShareAHostAreOneGroup);
+    CPPUNIT_TEST(answersSpreadByCapacity);
+    CPPUNIT_TEST(drainedDomainIsLeftOut);
+    CPPUNIT_TEST(homeRegionsOfAnyRouteBindTheHost);
+    CPPUNIT_TEST(contradictingHomesLeaveTheCallersRegion);
+    CPPUNIT_TEST(unknownHostGetsInstancesOfItsDomain);
+    CPPUNIT_TEST_SUITE_END();
+
+    GatewayConfiguration m_configuration;
+    TargetList m_targets;
+    DrainedDomains m_drained;
+    InstanceList m_instances;
+    const DomainRegions m_regions{ { "a1", "a" }, { "a2", "a" }, { "b1", "b" } };
+    SeededRandom m_random{ 9 };
+
+    static Route route(const std::string &service, Repeatability kind,
+                       std::vector<std::string> homes = {})
+    {
+        Route it;
+        it.name = service;
+        it.pathPrefix = "/" + service + "/";
+        it.parts = { { service, 1 } };
+        it.repeatability = kind;
+        it.homeRegions = std::move(homes);
+        return it;
+    }
+
+    void addTargets(const std::string &domain, int count, const std::string &service = "s")
+    {
+        for (int i = 0; i < count; ++i) {
+            TargetRecord it;
+            it.id = domain + service + std::to_string(i);
+            it.service = service;
+            it.failureDomain = domain;
+            it.slots = 3;
+            m_targets.targets.push_back(it);
+        }
+    }
+
+    std::map<std::string, int> answers(const AddressQuery &query, int n = 2000)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < n; ++i) {
+            for (const Address &it :
+                 chooseAddresses({ m_configuration, m_targets, m_drained, m_instances, m_regions },
+                                 query, 1, m_random))
+                ++counts[it.host.substr(0, 2)];
+        }
+        return counts;
+    }
+
+public:
+    void setUp() override
+    {
+        m_configuration = GatewayConfiguration();
+        m_targets = TargetList();
+        m_drained = DrainedDomains();
+        m_instances = InstanceList();
+        for (const char *domain : { "a1", "a2", "b1" }) {
+            for (int i = 0; i < 4; ++i) {
+                const std::string id = std::string(domain) + "-" + std::to_string(i);
+                m_instances.instances.push_back({ id, { id, 80 }, domain });
+            }
+        }
+        m_configuration.hosts = { { "h", { route("s", Repeatability::Idempotent) } } };
+    }
+
+    void lostInstanceMovesOnlyItsOwnGroups()
+    {
+        std::map<std::string, std::string> before;
+        const auto owner = [&](const std::string &group) {
+            return dispatchersOf(m_instances, group, "a1", 1).front().id;
+        };
+        for (int i = 0; i < 200; ++i)
+            before["g" + std::to_string(i)] = owner("g" + std::to_string(i));
+        const std::string lost = m_instances.instances.front().id;
+        m_instances.instances.erase(m_instances.instances.begin());
+        for (const auto &[group, id] : before) {
+            if (id != lost)
+                CPPUNIT_ASSERT_EQUAL(id, owner(group));
+        }
+    }
+
+    // Guards against two instances that count the same targets apart.
+    void servicesThatShareAHostAreOneGroup()
+    {
+        m_configuration.hosts = {
+            { "h",
+              { route("s", Repeatability::Idempotent), route("t", Repeatability::Idempotent) } },
+            { "i",
+              { route("t", Repeatability::Idempotent), route("u", Repeatability::Idempotent) } },
+            { "j", { route("v", Repeatability::Idempotent) } }
+        };
+        const std::string group = dispatchGroup(m_configuration, "s");
+        CPPUNIT_ASSERT_EQUAL(group, dispatchGroup(m_configuration, "t"));
+        CPPUNIT_ASSERT_EQUAL(group, dispatchGroup(m_configuration, "u"));
+        CPPUNIT_ASSERT(group != dispatchGroup(m_configuration, "v"));
+    }
+
+    void answersSpreadByCapacity()
+    {
+        addTargets("a1", 4);
+        addTargets("a2", 2);
+        addTargets("b1", 1);
+        const auto counts = answers({ "h", "a1", "a" });
+        CPPUNIT_ASSERT_EQUAL(2000, counts.at("a1"));
+        CPPUNIT_ASSERT(counts.at("a2") > 850 && counts.at("a2") < 1150);
+        CPPUNIT_ASSERT(counts.at("b1") > 400 && counts.at("b1") < 600);
+    }
+
+    void drainedDomainIsLeftOut()
+    {
+        addTargets("a1", 2);
+        addTargets("a2", 2);
+        m_drained.domains = { "a1" };
+        const auto counts = answers({ "h", "a1", "a" });
+        CPPUNIT_ASSERT(!counts.contains("a1"));
+        CPPUNIT_ASSERT_EQUAL(2000, counts.at("a2"));
+    }
+
+    // Guards against callers of a route with home regions that are sent to another region because
+    // the host also has routes without.
+    void homeRegionsOfAnyRouteBindTheHost()
+    {
+        addTargets("a1", 1);
+        addTargets("b1", 5);
+        m_configuration.hosts = { { "h",
+                                    { route("s", Repeatability::Idempotent),
+                                      route("s", Repeatability::Idempotent, { "b" }),
+                                      route("s", Repeatability::AtMostOnce, { "a" }) } } };
+        const auto counts = answers({ "h", "b1", "b" });
+        CPPUNIT_ASSERT(!counts.contains("b1"));
+        CPPUNIT_ASSERT_EQUAL(2000, counts.at("a1"));
+    }
+
+    void contradictingHomesLeaveTheCallersRegion()
+    {
+        addTargets("a1", 1);
+        addTargets("b1", 1);
+        m_configuration.hosts = { { "h",
+                                    { route("s", Repeatability::Idempotent, { "a" }),
+                                      route("s", Repeatability::Idempotent, { "b" }) } } };
+        CPPUNIT_ASSERT(!answers({ "h", "b1", "b" }).contains("a1"));
+        CPPUNIT_ASSERT(!answers({ "h", "a1", "a" }).contains("b1"));
+    }
+
+    void unknownHostGetsInstancesOfItsDomain()
+    {
+        const auto counts = answers({ "unknown", "b1", "b" }, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, counts.size());
+        CPPUNIT_ASSERT(counts.contains("b1"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchPlanTest);
+
+} // namespace lycheebay
--- a/src/gateway/worktimeestimate.cpp
+++ b/src/gateway/worktimeestimate.cpp
@@ -25,8 +25,7 @@
 void WorkTimeEstimate::addSample(Duration elapsed, double slowdown)
 {
     const double usual = toSeconds(m_usual);
-    const double sample =
-            std::min(toSeconds(elapsed) / std::max(slowdown, 1.0), usual * kOutlier);
+    const double sample = std::min(toSeconds(elapsed) / std::max(slowdown, 1.0), usual * kOutlier);
     m_usual = fromSeconds(usual + kSampleWeight * (sample - usual));
 }
 
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -115,12 +115,14 @@
         // A failed write shows at the reading side, which also takes an answer that came before.
         self->m_writing = false;
     });
-    if (!m_reading)
-        read();
+    read();
 }
 
 void HttpClientConnection::read()
 {
+    // The done callback may have started the next exchange, and with it a read.
+    if (m_reading)
+        return;
     m_reading = true;
     const IntrusivePtr<HttpClientConnection> self(this);
     m_socket.async_read_some(asio::buffer(m_buffer), [self](asio::error_code ec, std::size_t n) {
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -59,8 +59,8 @@
     bool isOpen() const { return !m_closed; }
     bool isConnected() const { return m_connected; }
     bool isBusy() const { return static_cast<bool>(m_done); }
-    /// True if an idle connection may carry a further request: it was used less than \a maxIdle ago,
-    /// and less than what the server told.
+    /// True if an idle connection may carry a further request: it was used less than \a maxIdle
+    /// ago, and less than what the server told.
     bool isReusable(TimePoint now, Duration maxIdle) const;
 
 private:
--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -72,7 +72,7 @@
     {
         HttpMessageParser &it = self(parser);
         const bool isInterim = it.m_kind == HttpMessageParser::Kind::Response
-                && it.m_response.status >= 100 && it.m_response.status < 200;
+                               && it.m_response.status >= 100 && it.m_response.status < 200;
         if (isInterim) {
             it.m_response = HttpResponse();
             it.m_headComplete = false;
--- a/src/http/httpserialization.h
+++ b/src/http/httpserialization.h
@@ -6,8 +6,8 @@
 
 namespace lycheebay {
 
-/// Returns the bytes of a request with the body framed by its length. \a request carries Host and no
-/// framing headers. Thread-safe.
+/// Returns the bytes of a request with the body framed by its length. \a request carries Host and
+/// no framing headers. Thread-safe.
 std::string serializeRequest(const HttpRequest &request);
 
 /// Returns the bytes of a response with the body framed by its length. \a request is what it
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -19,6 +19,7 @@
     void close();
     /// Ends the connection if it is idle, or its request incomplete, for too long.
     void closeIfExpired(TimePoint now);
+
 private:
     void read();
     void onRead(asio::error_code ec, std::size_t n);
--- /dev/null
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -0,0 +1,195 @@
+#include "http/httpclientconnection.h"
+#include "http/httpconnectionpool.h"
+#include "http/httplistener.h"
+#include "http/httpserialization.h"
+#include "http/tests/loopfixture.h"
+
+#include <asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lycheebay {
+
+class HttpConnectionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpConnectionTest);
+    CPPUNIT_TEST(exchangesFollowEachOtherFromTheCallback);
+    CPPUNIT_TEST(refusedConnectionIsNotSent);
+    CPPUNIT_TEST(silentServerIsNoticedByTheCaller);
+    CPPUNIT_TEST(responseOfAnotherRequestIsDropped);
+    CPPUNIT_TEST(extraBytesEndTheConnection);
+    CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(badRequestsGetAnErrorAndTheListenerLives);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Connection = IntrusivePtr<HttpClientConnection>;
+
+    LoopFixture m_loop;
+    std::unique_ptr<HttpListener> m_listener;
+
+    Address serve(HttpListener::Handler handler)
+    {
+        m_listener = std::make_unique<HttpListener>(m_loop.context, m_loop.timers, m_loop.clock,
+                                                    std::move(handler));
+        CPPUNIT_ASSERT(m_listener->start({ "127.0.0.1", 0 }).ok());
+        return { "127.0.0.1", m_listener->port() };
+    }
+
+    /// Accepts one connection and answers its first bytes with \a reply, whatever they are.
+    Address serveRaw(std::string reply)
+    {
+        auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(
+                m_loop.context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop.context);
+        acceptor->async_accept(*socket, [acceptor, socket, reply](asio::error_code) {
+            auto buffer = std::make_shared<std::array<char, 4096>>();
+            socket->async_read_some(
+                    asio::buffer(*buffer), [socket, buffer, reply](asio::error_code, std::size_t) {
+                        asio::write(*socket, asio::buffer(reply));
+                        // Stays open: its only reference is kept by a read that never ends.
+                        socket->async_read_some(asio::buffer(*buffer),
+                                                [socket, buffer](asio::error_code, std::size_t) {});
+                    });
+        });
+        return { "127.0.0.1", acceptor->local_endpoint().port() };
+    }
+
+    Connection connect(const Address &address)
+    {
+        return makeRef<HttpClientConnection>(m_loop.context, m_loop.timers, m_loop.clock, address,
+                                             ClientConnectionTimeouts());
+    }
+
+    static std::string get(const std::string &path)
+    {
+        return serializeRequest({ "GET", path, { { "Host", "test" } }, {} });
+    }
+
+public:
+    void tearDown() override { m_listener.reset(); }
+
+    // Guards against two reads at a time into one buffer, which spoiled large answers.
+    void exchangesFollowEachOtherFromTheCallback()
+    {
+        const std::string large(300'000, 'x');
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            it->respond(jsonResponse(200, it->request().target + large));
+        });
+        const Connection connection = connect(address);
+        int rounds = 0;
+        std::vector<std::string> bodies;
+        std::function<void()> next = [&] {
+            connection->send(get("/" + std::to_string(rounds)), false, nullptr,
+                             [&](TransferResult result, const HttpResponse &response) {
+                                 CPPUNIT_ASSERT(result == TransferResult::Answered);
+                                 bodies.push_back(response.body);
+                                 if (++rounds < 20)
+                                     next();
+                             });
+        };
+        next();
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return bodies.size() == 20; }));
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(bodies[i] == "/" + std::to_string(i) + large);
+    }
+
+    // Guards against a request being called unknown although no byte of it can have left.
+    void refusedConnectionIsNotSent()
+    {
+        const Address address = serve([](const auto &) {});
+        m_listener.reset();
+        std::optional<TransferResult> result;
+        connect(address)->send(get("/"), false, nullptr,
+                               [&](TransferResult it, const HttpResponse &) { result = it; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(*result == TransferResult::NotSent);
+    }
+
+    // Guards against "not run" being said of a request that may have reached its target.
+    void silentServerIsNoticedByTheCaller()
+    {
+        const Address address = serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
+        std::optional<TransferResult> result;
+        const Connection connection = connect(address);
+        connection->send(get("/"), false, nullptr,
+                         [&](TransferResult it, const HttpResponse &) { result = it; });
+        bool timedOut = false;
+        const auto timer = m_loop.timers.after(std::chrono::milliseconds(100), [&] {
+            timedOut = true;
+            connection->close();
+        });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return timedOut; }));
+        CPPUNIT_ASSERT(!result);
+        CPPUNIT_ASSERT(!connection->isOpen());
+    }
+
+    // Guards against a late second answer being given to the next request.
+    void responseOfAnotherRequestIsDropped()
+    {
+        const Address address =
+                serveRaw("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\na"
+                         "HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 1\r\n\r\nb");
+        std::string body;
+        const Connection connection = connect(address);
+        connection->send(
+                get("/"), false,
+                [](const HttpResponse &it) { return *findHeader(it.headers, "Id") == "new"; },
+                [&](TransferResult, const HttpResponse &it) { body = it.body; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return !body.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), body);
+        CPPUNIT_ASSERT(!connection->isReusable(m_loop.clock.now(), std::chrono::seconds(1)));
+    }
+
+    void extraBytesEndTheConnection()
+    {
+        const Address address =
+                serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK");
+        std::string body;
+        const Connection connection = connect(address);
+        connection->send(get("/"), false, nullptr,
+                         [&](TransferResult, const HttpResponse &it) { body = it.body; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return !body.empty(); }));
+        CPPUNIT_ASSERT(!connection->isOpen());
+    }
+
+    void callerThatLeavesIsNoticed()
+    {
+        bool asked = false;
+        bool gone = false;
+        IntrusivePtr<HttpExchange> kept;
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            asked = true;
+            kept = it;
+            it->onCallerGone([&] { gone = true; });
+        });
+        const Connection connection = connect(address);
+        connection->send(get("/"), false, nullptr, [](auto, const auto &) {});
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return asked; }));
+        connection->close();
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return gone; }));
+        kept->respond(jsonResponse(200, "late"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_listener->pendingCount());
+    }
+
+    void badRequestsGetAnErrorAndTheListenerLives()
+    {
+        const Address address = serve(
+                [](const IntrusivePtr<HttpExchange> &it) { it->respond(jsonResponse(200, "{}")); });
+        const std::pair<const char *, int> cases[] = {
+            { "nonsense\r\n\r\n", 400 },
+            { "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400 },
+            { "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 200 },
+        };
+        for (const auto &[request, status] : cases) {
+            int answered = 0;
+            const Connection connection = connect(address);
+            connection->send(request, false, nullptr,
+                             [&](TransferResult, const HttpResponse &it) { answered = it.status; });
+            CPPUNIT_ASSERT(m_loop.runUntil([&] { return answered != 0; }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(request, status, answered);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -0,0 +1,132 @@
+#include "http/httpmessageparser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace CppUnit {
+
+template <>
+struct assertion_traits<lycheebay::HttpMessageParser::State>
+{
+    static bool equal(lycheebay::HttpMessageParser::State a, lycheebay::HttpMessageParser::State b)
+    {
+        return a == b;
+    }
+    static std::string toString(lycheebay::HttpMessageParser::State it)
+    {
+        return std::to_string(static_cast<int>(it));
+    }
+};
+
+} // namespace CppUnit
+
+namespace lycheebay {
+
+using Parser = HttpMessageParser;
+
+class HttpMessageParserTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpMessageParserTest);
+    CPPUNIT_TEST(readsARequestInPieces);
+    CPPUNIT_TEST(leavesTheNextMessageUnread);
+    CPPUNIT_TEST(decodesChunks);
+    CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(rejectsBadMessages);
+    CPPUNIT_TEST(boundsHeadAndBody);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsARequestInPieces()
+    {
+        const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+                                 "Content-Length: 3\r\n\r\nxyz";
+        Parser parser(Parser::Kind::Request);
+        for (const char it : text) {
+            CPPUNIT_ASSERT_EQUAL(Parser::State::Incomplete, parser.state());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, parser.feed(std::string(1, it)));
+        }
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+        const HttpRequest request = parser.takeRequest();
+        const HttpRequest expected{
+            "POST",
+            "/a/b?c=d",
+            { { "Host", "h" }, { "X-One", "1" }, { "Content-Length", "3" } },
+            "xyz"
+        };
+        CPPUNIT_ASSERT(expected == request);
+    }
+
+    // Guards against a second answer on a connection being taken for a part of the first.
+    void leavesTheNextMessageUnread()
+    {
+        const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const std::string second = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+        Parser parser(Parser::Kind::Response);
+        CPPUNIT_ASSERT_EQUAL(first.size(), parser.feed(first + second));
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+        CPPUNIT_ASSERT(parser.isKeepAlive());
+        parser.restart();
+        CPPUNIT_ASSERT_EQUAL(second.size(), parser.feed(second));
+        CPPUNIT_ASSERT_EQUAL(500, parser.takeResponse().status);
+    }
+
+    void decodesChunks()
+    {
+        Parser parser(Parser::Kind::Request);
+        parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), parser.takeRequest().body);
+    }
+
+    void responseWithoutLengthEndsWithItsConnection()
+    {
+        Parser parser(Parser::Kind::Response);
+        parser.feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\nall of it");
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Incomplete, parser.state());
+        parser.finish();
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+        CPPUNIT_ASSERT(!parser.isKeepAlive());
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), parser.takeResponse().body);
+    }
+
+    // Guards against smuggling and against bytes that are no answer being passed on.
+    void rejectsBadMessages()
+    {
+        const char *const requests[] = {
+            "no request at all\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost h\r\n\r\n",
+        };
+        for (const char *it : requests) {
+            Parser parser(Parser::Kind::Request);
+            parser.feed(it);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed, parser.state());
+        }
+        Parser response(Parser::Kind::Response);
+        response.feed("\x01\x02garbage that is no response\r\n");
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Malformed, response.state());
+        Parser cut(Parser::Kind::Response);
+        cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+        cut.finish();
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Malformed, cut.state());
+    }
+
+    void boundsHeadAndBody()
+    {
+        const HttpMessageLimits limits{ 64, 8 };
+        Parser longHead(Parser::Kind::Request, limits);
+        longHead.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(Parser::State::HeadTooLarge, longHead.state());
+        Parser longBody(Parser::Kind::Request, limits);
+        longBody.feed("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789");
+        CPPUNIT_ASSERT_EQUAL(Parser::State::BodyTooLarge, longBody.state());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpMessageParserTest);
+
+} // namespace lycheebay
--- a/src/transport/internal/peertransportimpl.h
+++ b/src/transport/internal/peertransportimpl.h
@@ -66,7 +66,6 @@
     LinkId open(asio::ip::tcp::socket socket, bool outbound, const Address &remote);
     void closed(LinkId link, const std::string &reason);
 
-
     struct OpenLink
     {
         std::shared_ptr<PeerLink> link;
