Do not hold requests for a target list that cannot be read

Change: an instance that leaves, or that knows the platform to be away, serves from the last known list at once.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,7 +87,8 @@
 
 void Gateway::handle(const IntrusivePtr<HttpExchange> &exchange)
 {
-    if (!m_refresher) {
+    // An instance that leaves has no time to wait for the list.
+    if (!m_refresher || m_leaving) {
         proxy(exchange);
         return;
     }
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -234,7 +234,8 @@
 
 void EstateCoordinator::whenRecent(std::function<void()> done)
 {
-    if (isRecent(kLateNews)) {
+    // While the platform is away, the last known list is all there is.
+    if (isRecent(kLateNews) || m_failures > 0) {
         done();
         return;
     }
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(onlyTheReaderReadsWhileItsNewsCome);
     CPPUNIT_TEST(followerReadsWhenNewsAreLate);
     CPPUNIT_TEST(idleInstanceReadsForARequest);
+    CPPUNIT_TEST(requestsDoNotWaitWhileThePlatformIsAway);
     CPPUNIT_TEST(missedConfigurationIsCaughtUp);
     CPPUNIT_TEST(newsFromAnyOtherLinkAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +203,16 @@
         CPPUNIT_ASSERT(servedAtOnce);
     }
 
+    // Guards against requests that are held for reads which are known to fail.
+    void requestsDoNotWaitWhileThePlatformIsAway()
+    {
+        Instance alone(*m_loop, m_random, "10.0.0.9:80");
+        alone.coordinator.targetsRead(nullptr, m_loop->clock.now());
+        bool served = false;
+        alone.coordinator.whenRecent([&] { served = true; });
+        CPPUNIT_ASSERT(served);
+    }
+
     // Guards against a read that waits and is not told of a change.
     void missedConfigurationIsCaughtUp()
     {
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(callerThatLeavesCancelsItsLookup);
     CPPUNIT_TEST(orderOfACallerThatLeftRunsOn);
     CPPUNIT_TEST(leavingInstanceFinishesAndThenEnds);
+    CPPUNIT_TEST(leavingInstanceDoesNotWaitForTheTargetList);
     CPPUNIT_TEST_SUITE_END();
 
     enum class Behaviour { Answer, Shed, Lose, Hang, SlowAnswer };
@@ -382,6 +383,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("close"), *findHeader(response.headers, "Connection"));
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_gateway->shouldEnd(); }));
     }
+
+    // Guards against a request that is held until the process of a leaving instance ends.
+    void leavingInstanceDoesNotWaitForTheTargetList()
+    {
+        struct NeverRecent final : public ITargetListRefresher
+        {
+            void whenRecent(std::function<void()>) override {}
+            void noteUse() override {}
+        };
+        NeverRecent refresher;
+        m_gateway->setTargetListRefresher(&refresher);
+        publishConfiguration(30s);
+        addTarget(Behaviour::Answer);
+        m_gateway->beginLeaving();
+        CPPUNIT_ASSERT_EQUAL(503, wait(ask("/order/a", "POST")).status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
