--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -194,7 +194,10 @@
     const auto instances = m_blackboard.instances.read();
     if (!configuration)
         return;
+    const auto targets = m_blackboard.targets.read();
     const std::size_t instanceCount = instances ? instances->instances.size() : 1;
+    m_metrics.setInstances(instanceCount);
+    m_metrics.setTargets(targets ? targets->targets.size() : 0);
     for (const auto &[service, dispatcher] : m_dispatchers) {
         const ServiceProperties *known = findService(*configuration, service);
         const ServiceProperties properties = known ? *known : ServiceProperties();
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -27,7 +27,14 @@
 // Waits of one read of the configuration: short where a missed change must be found in time, long
 // where the reader's news would show it.
 constexpr Duration kShortWait = milliseconds(1000);
-constexpr Duration kLongWait = seconds(20);
+constexpr Duration kLongWait = seconds(28);
+
+// Time that an instance needs after its start to find the reader and hear from it.
+constexpr Duration kStartTime = seconds(3);
+
+// Instances that are started together do so within some 300 ms, and are listed after some
+// renewals.
+constexpr Duration kFirstListDelay = milliseconds(900);
 
 constexpr char kReaderGroup[] = "estate-reader";
 
@@ -46,7 +53,7 @@
     , m_logger(componentLogger("estate"))
 {
     m_blackboard.instances.subscribe(
-            [this](const IntrusivePtr<const InstanceList> &it) { instancesChanged(*it); });
+            [this](const IntrusivePtr<const InstanceList> &it) { chooseReader(*it); });
 }
 
 absl::Status EstateCoordinator::start()
@@ -54,13 +61,15 @@
     absl::Status status = m_links.start(this);
     if (!status.ok())
         return status;
+    m_startedAt = m_clock.now();
+    m_source.setConfigurationWait(kLongWait);
     m_source.start(*this);
-    m_lastReadAt = m_clock.now();
+    m_lastReadAt = m_startedAt;
     m_source.readTargets();
     return absl::OkStatus();
 }
 
-void EstateCoordinator::instancesChanged(const InstanceList &instances)
+void EstateCoordinator::chooseReader(const InstanceList &instances)
 {
     InstanceList region;
     for (const GatewayInstance &it : instances.instances) {
@@ -105,7 +114,7 @@
     if (m_role == Role::Reader)
         return last + kReadPeriod - now;
     const bool inUse = m_lastUseAt && now - *m_lastUseAt < kIdleAfter;
-    const TimePoint late = m_asOf ? *m_asOf + kLateNews : now;
+    const TimePoint late = std::max(m_asOf ? *m_asOf + kLateNews : now, m_startedAt + kStartTime);
     const TimePoint next = last + (inUse ? kReadPeriod : kIdleReadPeriod);
     return std::max(late, next) - now;
 }
@@ -121,13 +130,24 @@
         }
         m_lastReadAt = m_clock.now();
         m_source.readTargets();
+        if (m_instancesMissed && !reliesOnReader()) {
+            m_instancesMissed = false;
+            m_source.readInstances();
+        }
     });
 }
 
+bool EstateCoordinator::reliesOnReader() const
+{
+    if (m_role == Role::Reader)
+        return false;
+    const bool starting = m_clock.now() - m_startedAt < kStartTime;
+    return starting || (m_readerLink && isRecent(kLateNews));
+}
+
 void EstateCoordinator::chooseConfigurationWait()
 {
-    const bool relies = m_role == Role::Follower && m_readerLink && isRecent(kLateNews);
-    m_source.setConfigurationWait(relies ? kLongWait : kShortWait);
+    m_source.setConfigurationWait(reliesOnReader() ? kLongWait : kShortWait);
 }
 
 void EstateCoordinator::targetsRead(const IntrusivePtr<const TargetList> &targets,
@@ -153,6 +173,38 @@
         sendNews();
 }
 
+void EstateCoordinator::instancesChanged()
+{
+    if (m_role == Role::Unknown) {
+        // Instances that start together are all listed a little later.
+        const Duration delay = m_startedAt + kFirstListDelay - m_clock.now();
+        m_firstListTimer = m_timers.after(std::max(delay, Duration::zero()),
+                                          [this] { m_source.readInstances(); });
+        return;
+    }
+    m_instancesMissed = reliesOnReader();
+    if (!m_instancesMissed)
+        m_source.readInstances();
+}
+
+void EstateCoordinator::instancesRead(const IntrusivePtr<const InstanceList> &instances)
+{
+    // An instance that stops being the reader tells its followers too, so that they find the next.
+    const bool wasReader = m_role == Role::Reader;
+    publish(instances);
+    if (wasReader || m_role == Role::Reader)
+        sendNews();
+}
+
+void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
+{
+    const auto current = m_blackboard.instances.read();
+    if (current && *current == *instances)
+        return;
+    LOG4CPLUS_INFO(m_logger, "event=instances_changed instances=" << instances->instances.size());
+    m_blackboard.instances.publish(instances);
+}
+
 void EstateCoordinator::publish(const IntrusivePtr<const TargetList> &targets)
 {
     const auto current = m_blackboard.targets.read();
@@ -175,12 +227,15 @@
 {
     if (!m_asOf)
         return;
-    EstateNews news{ *m_asOf, m_source.configurationPosition(), nullptr };
-    const auto current = m_blackboard.targets.read();
-    auto &sent = m_followers[link];
-    if (current && !(sent == current)) {
-        news.targets = current;
-        sent = current;
+    Told &told = m_followers[link];
+    EstateNews news{ *m_asOf, m_source.configurationPosition(), {}, {} };
+    if (const auto targets = m_blackboard.targets.read()) {
+        news.targets = changeBetween(told.targets, targets->targets);
+        told.targets = targets->targets;
+    }
+    if (const auto instances = m_blackboard.instances.read()) {
+        news.instances = changeBetween(told.instances, instances->instances);
+        told.instances = instances->instances;
     }
     m_links.send(link, encodeNews(news, m_clock.now()));
 }
@@ -193,7 +248,7 @@
                        "event=dependency_regained dependency=reader address=" << remote.toString());
         return;
     }
-    m_followers[link] = nullptr;
+    m_followers[link] = Told();
     if (m_role == Role::Reader)
         sendNewsTo(link);
 }
@@ -206,16 +261,20 @@
     if (!news.ok())
         return news.status();
     m_source.catchUpConfiguration(news->configurationPosition);
-    if (news->targets)
-        m_relayed = news->targets;
+    applyChange(m_relayed.targets, news->targets);
+    applyChange(m_relayed.instances, news->instances);
     // Older than what this instance read itself; the next news will be newer.
     if (m_asOf && news->asOf < *m_asOf)
         return absl::OkStatus();
     m_asOf = news->asOf;
     m_failures = 0;
-    if (m_relayed)
-        publish(m_relayed);
     chooseConfigurationWait();
+    auto targets = makeRef<TargetList>();
+    targets->targets = m_relayed.targets;
+    publish(IntrusivePtr<const TargetList>(targets));
+    auto instances = makeRef<InstanceList>();
+    instances->instances = m_relayed.instances;
+    publish(IntrusivePtr<const InstanceList>(instances));
     releaseWaiting();
     return absl::OkStatus();
 }
@@ -226,7 +285,7 @@
     if (m_readerLink != link)
         return;
     m_readerLink.reset();
-    m_relayed = nullptr;
+    m_relayed = Told();
     LOG4CPLUS_INFO(m_logger, "event=dependency_lost dependency=reader");
     chooseConfigurationWait();
     schedule();
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -44,6 +44,8 @@
 
     void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt) override;
     void configurationRead() override;
+    void instancesChanged() override;
+    void instancesRead(const IntrusivePtr<const InstanceList> &instances) override;
 
     void linkOpened(LinkId link, bool outbound, const Address &remote) override;
     absl::Status frameReceived(LinkId link, std::string_view frame) override;
@@ -53,14 +55,24 @@
     void noteUse() override;
 
 private:
-    enum class Role { Reader, Follower };
+    /// Unknown until the instances were read for the first time.
+    enum class Role { Unknown, Reader, Follower };
 
-    void instancesChanged(const InstanceList &instances);
+    /// What another instance was told last on its link.
+    struct Told
+    {
+        std::vector<TargetRecord> targets;
+        std::vector<GatewayInstance> instances;
+    };
+
+    void chooseReader(const InstanceList &instances);
+    bool reliesOnReader() const;
     void schedule();
     Duration readDelay() const;
     bool isRecent(Duration age) const;
     void chooseConfigurationWait();
     void publish(const IntrusivePtr<const TargetList> &targets);
+    void publish(const IntrusivePtr<const InstanceList> &instances);
     void sendNews();
     void sendNewsTo(LinkId link);
     void releaseWaiting();
@@ -73,19 +85,22 @@
     IPeerLinks &m_links;
     const Settings m_settings;
     const log4cplus::Logger m_logger;
-    Role m_role = Role::Follower;
+    Role m_role = Role::Unknown;
     std::string m_reader;
-    /// Links of instances that follow this one, with the list that each was sent last.
-    std::map<LinkId, IntrusivePtr<const TargetList>> m_followers;
+    std::map<LinkId, Told> m_followers;
     std::optional<LinkId> m_readerLink;
-    /// The list that the reader sent last on its link.
-    IntrusivePtr<const TargetList> m_relayed;
+    /// What the reader told on its link.
+    Told m_relayed;
+    TimePoint m_startedAt;
     std::optional<TimePoint> m_asOf;
     std::optional<TimePoint> m_lastReadAt;
     std::optional<TimePoint> m_lastUseAt;
     int m_failures = 0;
+    /// The instances changed while the reader's news were relied on.
+    bool m_instancesMissed = false;
     TimerSubscription m_timer;
     TimerSubscription m_waitTimer;
+    TimerSubscription m_firstListTimer;
     std::vector<std::function<void()>> m_waiting;
 };
 
--- a/src/gateway/relay/estatenews.cpp
+++ b/src/gateway/relay/estatenews.cpp
@@ -2,6 +2,8 @@
 
 #include "relay_generated.h"
 
+#include <algorithm>
+
 namespace lycheebay {
 
 namespace {
@@ -13,6 +15,49 @@
 constexpr flatbuffers::uoffset_t kMaxTables = 100'000;
 constexpr std::size_t kMaxNameBytes = 256;
 
+template <typename T>
+auto lowerBound(std::vector<T> &list, const std::string &id)
+{
+    return std::lower_bound(list.begin(), list.end(), id,
+                            [](const T &it, const std::string &key) { return it.id < key; });
+}
+
+template <typename T>
+ListChange<T> difference(const std::vector<T> &from, const std::vector<T> &to)
+{
+    ListChange<T> change;
+    auto old = from.begin();
+    for (const T &it : to) {
+        for (; old != from.end() && old->id < it.id; ++old)
+            change.removed.push_back(old->id);
+        const bool known = old != from.end() && old->id == it.id;
+        if (!known || !(*old == it))
+            change.put.push_back(it);
+        if (known)
+            ++old;
+    }
+    for (; old != from.end(); ++old)
+        change.removed.push_back(old->id);
+    return change;
+}
+
+template <typename T>
+void apply(std::vector<T> &list, const ListChange<T> &change)
+{
+    for (const std::string &id : change.removed) {
+        const auto it = lowerBound(list, id);
+        if (it != list.end() && it->id == id)
+            list.erase(it);
+    }
+    for (const T &element : change.put) {
+        const auto it = lowerBound(list, element.id);
+        if (it != list.end() && it->id == element.id)
+            *it = element;
+        else
+            list.insert(it, element);
+    }
+}
+
 std::uint32_t roundedUpMs(Duration duration)
 {
     if (duration <= Duration::zero())
@@ -21,18 +66,17 @@
     return static_cast<std::uint32_t>(std::min<std::int64_t>(ms, UINT32_MAX));
 }
 
-bool isShort(const flatbuffers::String *text)
+bool isName(const flatbuffers::String *text)
 {
-    return text->size() <= kMaxNameBytes;
+    return text->size() > 0 && text->size() <= kMaxNameBytes;
 }
 
-absl::StatusOr<TargetRecord> decodeTarget(const relaywire::Target &target, TimePoint now)
+absl::Status decodeTarget(const relaywire::Target &target, TimePoint now, TargetsChange &change)
 {
-    const bool acceptable = isShort(target.id()) && isShort(target.service())
-                            && isShort(target.host()) && isShort(target.failure_domain())
-                            && target.slots() > 0;
+    const bool acceptable = isName(target.id()) && isName(target.service()) && isName(target.host())
+                            && isName(target.failure_domain()) && target.slots() > 0;
     if (!acceptable)
-        return absl::InvalidArgumentError("target with a long name or without slots");
+        return absl::InvalidArgumentError("target with a bad name or without slots");
     TargetRecord record;
     record.id = target.id()->str();
     record.service = target.service()->str();
@@ -43,32 +87,110 @@
     record.startedAtMs = target.started_at_ms();
     if (target.cold_ms() > 0)
         record.coldUntil = now + milliseconds(target.cold_ms());
-    return record;
+    change.put.push_back(std::move(record));
+    return absl::OkStatus();
+}
+
+absl::Status decodeInstance(const relaywire::Instance &instance, InstancesChange &change)
+{
+    if (!isName(instance.id()) || !isName(instance.host()) || !isName(instance.failure_domain()))
+        return absl::InvalidArgumentError("instance with a bad name");
+    change.put.push_back({ instance.id()->str(),
+                           { instance.host()->str(), instance.port() },
+                           instance.failure_domain()->str() });
+    return absl::OkStatus();
+}
+
+absl::Status
+decodeRemoved(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names,
+              std::vector<std::string> &removed)
+{
+    if (!names)
+        return absl::OkStatus();
+    for (const flatbuffers::String *it : *names) {
+        if (!isName(it))
+            return absl::InvalidArgumentError("bad name of a removed element");
+        removed.push_back(it->str());
+    }
+    return absl::OkStatus();
+}
+
+absl::Status decodeLists(const relaywire::News &message, TimePoint now, EstateNews &news)
+{
+    absl::Status status = decodeRemoved(message.removed_targets(), news.targets.removed);
+    if (status.ok())
+        status = decodeRemoved(message.removed_instances(), news.instances.removed);
+    if (message.targets()) {
+        for (const relaywire::Target *it : *message.targets()) {
+            if (status.ok())
+                status = decodeTarget(*it, now, news.targets);
+        }
+    }
+    if (message.instances()) {
+        for (const relaywire::Instance *it : *message.instances()) {
+            if (status.ok())
+                status = decodeInstance(*it, news.instances);
+        }
+    }
+    return status;
+}
+
+std::unique_ptr<relaywire::TargetT> encodeTarget(const TargetRecord &record, TimePoint now)
+{
+    auto target = std::make_unique<relaywire::TargetT>();
+    target->id = record.id;
+    target->service = record.service;
+    target->host = record.address.host;
+    target->port = record.address.port;
+    target->failure_domain = record.failureDomain;
+    target->slots = record.slots;
+    target->leaving = record.leaving;
+    target->started_at_ms = record.startedAtMs;
+    target->cold_ms = roundedUpMs(record.coldUntil - now);
+    return target;
 }
 
 } // namespace
 
+TargetsChange changeBetween(const std::vector<TargetRecord> &from,
+                            const std::vector<TargetRecord> &to)
+{
+    return difference(from, to);
+}
+
+InstancesChange changeBetween(const std::vector<GatewayInstance> &from,
+                              const std::vector<GatewayInstance> &to)
+{
+    return difference(from, to);
+}
+
+void applyChange(std::vector<TargetRecord> &list, const TargetsChange &change)
+{
+    apply(list, change);
+}
+
+void applyChange(std::vector<GatewayInstance> &list, const InstancesChange &change)
+{
+    apply(list, change);
+}
+
 std::string encodeNews(const EstateNews &news, TimePoint now)
 {
     relaywire::NewsT message;
     message.age_ms = roundedUpMs(now - news.asOf);
     message.configuration_position = news.configurationPosition;
-    if (news.targets) {
-        message.list = std::make_unique<relaywire::TargetListT>();
-        for (const TargetRecord &it : news.targets->targets) {
-            auto target = std::make_unique<relaywire::TargetT>();
-            target->id = it.id;
-            target->service = it.service;
-            target->host = it.address.host;
-            target->port = it.address.port;
-            target->failure_domain = it.failureDomain;
-            target->slots = it.slots;
-            target->leaving = it.leaving;
-            target->started_at_ms = it.startedAtMs;
-            target->cold_ms = roundedUpMs(it.coldUntil - now);
-            message.list->targets.push_back(std::move(target));
-        }
+    for (const TargetRecord &it : news.targets.put)
+        message.targets.push_back(encodeTarget(it, now));
+    message.removed_targets = news.targets.removed;
+    for (const GatewayInstance &it : news.instances.put) {
+        auto instance = std::make_unique<relaywire::InstanceT>();
+        instance->id = it.id;
+        instance->host = it.address.host;
+        instance->port = it.address.port;
+        instance->failure_domain = it.failureDomain;
+        message.instances.push_back(std::move(instance));
     }
+    message.removed_instances = news.instances.removed;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::News::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
@@ -84,16 +206,9 @@
     EstateNews news;
     news.asOf = now - milliseconds(message->age_ms());
     news.configurationPosition = message->configuration_position();
-    if (!message->list())
-        return news;
-    auto list = makeRef<TargetList>();
-    for (const relaywire::Target *it : *message->list()->targets()) {
-        auto record = decodeTarget(*it, now);
-        if (!record.ok())
-            return record.status();
-        list->targets.push_back(*std::move(record));
-    }
-    news.targets = IntrusivePtr<const TargetList>(list);
+    const absl::Status status = decodeLists(*message, now, news);
+    if (!status.ok())
+        return status;
     return news;
 }
 
--- a/src/gateway/relay/estatenews.h
+++ b/src/gateway/relay/estatenews.h
@@ -6,9 +6,37 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lycheebay {
 
+/// Difference between two lists whose elements have an `id`.
+template <typename T>
+struct ListChange
+{
+    /// New or changed elements.
+    std::vector<T> put;
+    /// Ids of elements that are gone.
+    std::vector<std::string> removed;
+
+    bool empty() const { return put.empty() && removed.empty(); }
+
+    auto operator<=>(const ListChange &) const = default;
+};
+
+using TargetsChange = ListChange<TargetRecord>;
+using InstancesChange = ListChange<GatewayInstance>;
+
+/// Returns what turns \a from into \a to. Both are sorted by id. Thread-safe.
+TargetsChange changeBetween(const std::vector<TargetRecord> &from,
+                            const std::vector<TargetRecord> &to);
+InstancesChange changeBetween(const std::vector<GatewayInstance> &from,
+                              const std::vector<GatewayInstance> &to);
+
+/// Applies a change; the list stays sorted by id. Thread-safe for different lists.
+void applyChange(std::vector<TargetRecord> &list, const TargetsChange &change);
+void applyChange(std::vector<GatewayInstance> &list, const InstancesChange &change);
+
 /// What an instance that reads the platform tells the others of its region.
 struct EstateNews
 {
@@ -16,8 +44,11 @@
     TimePoint asOf;
     /// Position up to which the configuration was read.
     std::uint64_t configurationPosition = 0;
-    /// Null if the list did not change since the last news on the same link.
-    IntrusivePtr<const TargetList> targets;
+    /// Since the last news on the same link.
+    TargetsChange targets;
+    InstancesChange instances;
+
+    auto operator<=>(const EstateNews &) const = default;
 };
 
 /// Encodes news for a frame. Ages are rounded up to milliseconds. Thread-safe.
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -17,6 +17,10 @@
                              TimePoint startedAt) = 0;
     /// The configuration was read up to a further position.
     virtual void configurationRead() = 0;
+    /// The platform's list of instances changed; readInstances() shows it.
+    virtual void instancesChanged() = 0;
+    /// A read of the instances ended well.
+    virtual void instancesRead(const IntrusivePtr<const InstanceList> &instances) = 0;
 };
 
 /// The platform's description of the estate. Not thread-safe: use it on the event loop.
@@ -29,6 +33,8 @@
     virtual void start(IEstateSourceListener &listener) = 0;
     /// Reads the targets once; does nothing while such a read runs.
     virtual void readTargets() = 0;
+    /// Reads the instances once.
+    virtual void readInstances() = 0;
     /// Sets how long one read of the configuration waits for a change. The source reads on by
     /// itself; a shorter wait also ends a read that waits.
     virtual void setConfigurationWait(Duration wait) = 0;
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(EstateCoordinatorTest);
     CPPUNIT_TEST(newsSurviveTheWire);
     CPPUNIT_TEST(badFramesAreRejected);
+    CPPUNIT_TEST(changesTurnOneListIntoTheOther);
+    CPPUNIT_TEST(formerReaderTellsItsFollowers);
     CPPUNIT_TEST(onlyTheReaderReadsWhileItsNewsCome);
     CPPUNIT_TEST(followerReadsWhenNewsAreLate);
     CPPUNIT_TEST(idleInstanceReadsForARequest);
@@ -25,12 +27,14 @@
     {
         void start(IEstateSourceListener &it) override { listener = &it; }
         void readTargets() override { ++reads; }
+        void readInstances() override { ++instanceReads; }
         void setConfigurationWait(Duration it) override { wait = it; }
         std::uint64_t configurationPosition() const override { return position; }
         void catchUpConfiguration(std::uint64_t it) override { caughtUp = it; }
 
         IEstateSourceListener *listener = nullptr;
         int reads = 0;
+        int instanceReads = 0;
         Duration wait{};
         std::uint64_t position = 0;
         std::uint64_t caughtUp = 0;
@@ -132,24 +136,64 @@
     void newsSurviveTheWire()
     {
         const TimePoint now = m_loop->clock.now();
-        const EstateNews news{ now - 120ms, 42, listOf("t") };
+        const EstateNews news{ now - 120ms,
+                               42,
+                               { listOf("t")->targets, { "old" } },
+                               { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } } };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeNews(encodeNews(news, now), later);
         CPPUNIT_ASSERT(decoded.ok());
-        CPPUNIT_ASSERT(decoded->asOf == later - 120ms);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 42 }, decoded->configurationPosition);
-        CPPUNIT_ASSERT(*decoded->targets == *news.targets);
+        EstateNews expected = news;
+        expected.asOf = later - 120ms;
+        CPPUNIT_ASSERT(expected == *decoded);
     }
 
     void badFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
-        const std::string good = encodeNews({ now, 1, listOf("t") }, now);
+        const std::string good = encodeNews({ now, 1, { listOf("t")->targets, {} }, {} }, now);
         CPPUNIT_ASSERT(!decodeNews("", now).ok());
         CPPUNIT_ASSERT(!decodeNews("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeNews(std::string_view(good).substr(0, good.size() / 2), now).ok());
     }
 
+    void changesTurnOneListIntoTheOther()
+    {
+        SeededRandom random(4);
+        std::vector<TargetRecord> from;
+        for (int round = 0; round < 200; ++round) {
+            std::vector<TargetRecord> to;
+            for (int i = 0; i < 20; ++i) {
+                TargetRecord it = listOf("t" + std::to_string(100 + i))->targets.front();
+                it.leaving = random.below(3) == 0;
+                if (random.below(3) > 0)
+                    to.push_back(it);
+            }
+            const TargetsChange change = changeBetween(from, to);
+            CPPUNIT_ASSERT_EQUAL(from == to, change.empty());
+            applyChange(from, change);
+            CPPUNIT_ASSERT(from == to);
+        }
+    }
+
+    // Guards against followers that go on waiting for an instance which is no reader any more.
+    void formerReaderTellsItsFollowers()
+    {
+        makePair();
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+        m_reader->links.sent.clear();
+        auto others = makeRef<InstanceList>();
+        for (int i = 1; i <= 40; ++i) {
+            const std::string id = "10.0.0." + std::to_string(i) + ":80";
+            others->instances.push_back({ id, { id, 80 }, "d1" });
+        }
+        m_reader->coordinator.instancesRead(IntrusivePtr<const InstanceList>(others));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
+        const auto news = decodeNews(m_reader->links.sent[0].second, m_loop->clock.now());
+        CPPUNIT_ASSERT(news.ok());
+        CPPUNIT_ASSERT(!news->instances.put.empty());
+    }
+
     // Guards against every instance reading the platform, which has a price a call.
     void onlyTheReaderReadsWhileItsNewsCome()
     {
@@ -175,8 +219,12 @@
     void followerReadsWhenNewsAreLate()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
-        passFrames();
+        // An instance that has just started waits a little longer for its first news.
+        for (int i = 0; i < 7; ++i) {
+            runFor(500ms);
+            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+            passFrames();
+        }
         m_follower->coordinator.noteUse();
         const TimePoint asOf = m_loop->clock.now();
         const int before = m_follower->source.reads;
@@ -227,7 +275,7 @@
     {
         makePair();
         const std::string frame =
-                encodeNews({ m_loop->clock.now(), 1, listOf("t") }, m_loop->clock.now());
+                encodeNews({ m_loop->clock.now(), 1, {}, {} }, m_loop->clock.now());
         CPPUNIT_ASSERT(!m_follower->coordinator.frameReceived(kLink + 1, frame).ok());
     }
 };
