Divide the targets of a failure domain among dispatchers by size

Change: one dispatcher for 64 slots, ranked by weight; each target has one owner; address options are kept until something changes; a list is relayed only once it is settled.

--- a/src/gateway/dispatchplan.cpp
+++ b/src/gateway/dispatchplan.cpp
@@ -4,6 +4,7 @@
 #include "gateway/routetable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+// Slots of targets that one dispatcher serves. The smallest instances have a tenth of a core and
+// 10 Mbit/s; this many slots give some 60 requests a second.
+constexpr int kSlotsPerDispatcher = 64;
 // Addresses that a caller gets when no dispatcher can be chosen.
 constexpr std::size_t kFallbackAddresses = 4;
 
@@ -83,49 +87,40 @@
     return it == inputs.regions.end() ? std::string() : it->second;
 }
 
-/// Slots that may be used for the host, by failure domain.
-std::map<std::string, int> capacities(const DispatchInputs &inputs, const HostNeeds &needs)
+std::vector<AddressOption> fallbackOptions(const InstanceList &instances,
+                                           const std::string &failureDomain)
 {
-    std::map<std::string, int> slots;
-    for (const TargetRecord &it : inputs.targets.targets) {
-        const bool usable = !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
-                            && contains(needs.services, it.service)
-                            && needs.allows(regionOf(inputs, it.failureDomain));
-        if (usable)
-            slots[it.failureDomain] += it.slots;
-    }
-    return slots;
-}
-
-std::vector<Address> fallbackAddresses(const InstanceList &instances,
-                                       const std::string &failureDomain)
-{
-    std::vector<Address> addresses;
+    std::vector<AddressOption> options;
     for (const bool sameDomain : { true, false }) {
         for (const GatewayInstance &it : instances.instances) {
             if ((it.failureDomain == failureDomain) == sameDomain
-                && addresses.size() < kFallbackAddresses)
-                addresses.push_back(it.address);
+                && options.size() < kFallbackAddresses)
+                options.push_back({ it.address, 1 });
         }
-        if (!addresses.empty())
+        if (!options.empty())
             break;
     }
-    return addresses;
+    return options;
 }
 
-} // namespace
+std::set<std::string> servicesOf(const RoutedHost &host)
+{
+    std::set<std::string> services;
+    for (const Route &route : host.routes) {
+        for (const RoutePart &part : route.parts)
+            services.insert(part.service);
+    }
+    return services;
+}
 
-std::string dispatchGroup(const GatewayConfiguration &configuration, const std::string &service)
+std::set<std::string> groupServices(const GatewayConfiguration &configuration,
+                                    const std::string &service)
 {
     std::set<std::string> group{ service };
     for (bool grown = true; grown;) {
         grown = false;
         for (const RoutedHost &host : configuration.hosts) {
-            std::set<std::string> services;
-            for (const Route &route : host.routes) {
-                for (const RoutePart &part : route.parts)
-                    services.insert(part.service);
-            }
+            const std::set<std::string> services = servicesOf(host);
             const bool shares = std::any_of(services.begin(), services.end(),
                                             [&](const auto &it) { return group.contains(it); });
             if (!shares)
@@ -135,16 +130,32 @@
             grown = grown || group.size() > before;
         }
     }
-    return *group.begin();
+    return group;
 }
 
-std::vector<GatewayInstance> dispatchersOf(const InstanceList &instances, std::string_view group,
-                                           std::string_view failureDomain, std::size_t count)
+/// Score of a weighted candidate; the highest one wins.
+double rendezvousScore(std::string_view key, const GatewayInstance &instance)
 {
-    std::vector<std::pair<std::uint64_t, const GatewayInstance *>> ranked;
+    constexpr double kHashRange = 0x1.0p64;
+    const double uniform =
+            (static_cast<double>(hash64(key, hash64(instance.id))) + 1) / (kHashRange + 2);
+    return -instance.weight / std::log(uniform);
+}
+
+} // namespace
+
+std::string dispatchGroup(const GatewayConfiguration &configuration, const std::string &service)
+{
+    return *groupServices(configuration, service).begin();
+}
+
+std::vector<GatewayInstance> rankedInstances(const InstanceList &instances, std::string_view group,
+                                             std::string_view failureDomain, std::size_t count)
+{
+    std::vector<std::pair<double, const GatewayInstance *>> ranked;
     for (const GatewayInstance &it : instances.instances) {
         if (it.failureDomain == failureDomain)
-            ranked.emplace_back(hash64(group, hash64(it.id)), &it);
+            ranked.emplace_back(rendezvousScore(group, it), &it);
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<GatewayInstance> chosen;
@@ -153,39 +164,76 @@
     return chosen;
 }
 
-std::vector<Address> chooseAddresses(const DispatchInputs &inputs, const AddressQuery &query,
-                                     std::size_t dispatchersPerDomain, IRandomSource &random)
+std::vector<GatewayInstance> dispatchersOf(const DispatchInputs &inputs, const std::string &service,
+                                           const std::string &failureDomain)
+{
+    const std::set<std::string> group = groupServices(inputs.configuration, service);
+    int slots = 0;
+    for (const TargetRecord &it : inputs.targets.targets) {
+        if (it.failureDomain == failureDomain && group.contains(it.service))
+            slots += it.slots;
+    }
+    const int count = std::max(1, (slots + kSlotsPerDispatcher - 1) / kSlotsPerDispatcher);
+    return rankedInstances(inputs.instances, *group.begin(), failureDomain,
+                           static_cast<std::size_t>(count));
+}
+
+const GatewayInstance *ownerOf(const std::vector<GatewayInstance> &dispatchers,
+                               const TargetRecord &target)
+{
+    const GatewayInstance *best = nullptr;
+    double bestScore = 0;
+    for (const GatewayInstance &it : dispatchers) {
+        const double score = rendezvousScore(target.id, it);
+        if (!best || score > bestScore) {
+            best = &it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::vector<AddressOption> addressOptions(const DispatchInputs &inputs, const AddressQuery &query)
 {
     const RoutedHost *host = findHost(inputs.configuration, query.host);
     if (!host)
-        return fallbackAddresses(inputs.instances, query.failureDomain);
+        return fallbackOptions(inputs.instances, query.failureDomain);
     const HostNeeds needs = needsOf(*host, query.region);
-    if (needs.services.empty())
-        return fallbackAddresses(inputs.instances, query.failureDomain);
-    const std::string group = dispatchGroup(inputs.configuration, needs.services.front());
-    struct Option
-    {
-        std::vector<GatewayInstance> dispatchers;
-        int slots = 0;
-    };
-    std::vector<Option> options;
-    int most = 0;
-    for (const auto &[domain, slots] : capacities(inputs, needs)) {
-        Option option{ dispatchersOf(inputs.instances, group, domain, dispatchersPerDomain),
-                       slots };
-        if (option.dispatchers.empty())
+    std::map<std::string, std::vector<GatewayInstance>> dispatchers;
+    std::map<Address, int> slots;
+    for (const TargetRecord &it : inputs.targets.targets) {
+        const bool usable = !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
+                && contains(needs.services, it.service)
+                && needs.allows(regionOf(inputs, it.failureDomain));
+        if (!usable)
             continue;
-        most = std::max(most, slots);
-        options.push_back(std::move(option));
+        auto known = dispatchers.find(it.failureDomain);
+        if (known == dispatchers.end()) {
+            known = dispatchers
+                            .emplace(it.failureDomain,
+                                     dispatchersOf(inputs, it.service, it.failureDomain))
+                            .first;
+        }
+        if (const GatewayInstance *owner = ownerOf(known->second, it))
+            slots[owner->address] += it.slots;
     }
+    std::vector<AddressOption> options;
+    for (const auto &[address, count] : slots)
+        options.push_back({ address, count });
+    return options.empty() ? fallbackOptions(inputs.instances, query.failureDomain) : options;
+}
+
+std::vector<Address> drawAddresses(const std::vector<AddressOption> &options, IRandomSource &random)
+{
+    int most = 0;
+    for (const AddressOption &it : options)
+        most = std::max(most, it.slots);
     std::vector<Address> addresses;
-    for (const Option &it : options) {
-        if (random.uniform() * most >= it.slots)
-            continue;
-        for (const GatewayInstance &dispatcher : it.dispatchers)
-            addresses.push_back(dispatcher.address);
+    for (const AddressOption &it : options) {
+        if (random.uniform() * most < it.slots)
+            addresses.push_back(it.address);
     }
-    return addresses.empty() ? fallbackAddresses(inputs.instances, query.failureDomain) : addresses;
+    return addresses;
 }
 
 } // namespace lycheebay
--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -29,11 +29,22 @@
 /// requests at its targets. Thread-safe.
 std::string dispatchGroup(const GatewayConfiguration &configuration, const std::string &service);
 
-/// Returns the instances that dispatch for a group of services to the targets in \a failureDomain,
-/// the first one being the owner, at most \a count. Chosen by rendezvous hashing (Thaler and
-/// Ravishankar, 1998), so that an instance that leaves moves only its own groups. Thread-safe.
-std::vector<GatewayInstance> dispatchersOf(const InstanceList &instances, std::string_view group,
-                                           std::string_view failureDomain, std::size_t count);
+/// Returns at most \a count instances of \a failureDomain in the order of their ranks for \a group.
+/// Ranked by weighted rendezvous hashing (Thaler and Ravishankar, 1998; weights after Schindelhauer
+/// and Schomaker, 2005), so that an instance that leaves moves only its own groups. Thread-safe.
+std::vector<GatewayInstance> rankedInstances(const InstanceList &instances, std::string_view group,
+                                             std::string_view failureDomain, std::size_t count);
+
+/// Returns the instances that dispatch to the targets of a service in \a failureDomain: one for each
+/// 64 slots of the service's group, so that a dispatcher's load does not grow with the estate.
+/// Thread-safe.
+std::vector<GatewayInstance> dispatchersOf(const DispatchInputs &inputs, const std::string &service,
+                                           const std::string &failureDomain);
+
+/// Returns the one of \a dispatchers that dispatches to the target, or null if there are none.
+/// Thread-safe.
+const GatewayInstance *ownerOf(const std::vector<GatewayInstance> &dispatchers,
+                               const TargetRecord &target);
 
 /// Who asks for addresses.
 struct AddressQuery
@@ -46,11 +57,24 @@
     auto operator<=>(const AddressQuery &) const = default;
 };
 
-/// Returns the addresses that a caller should connect to: the dispatchers in each failure domain
-/// whose targets may serve the host, included with a probability in proportion to the domain's
-/// capacity, so that the sum of all answers spreads callers over the capacity. Empty only if no
-/// instance is known. Thread-safe if \a random is.
-std::vector<Address> chooseAddresses(const DispatchInputs &inputs, const AddressQuery &query,
-                                     std::size_t dispatchersPerDomain, IRandomSource &random);
+/// An address and the capacity behind it.
+struct AddressOption
+{
+    Address address;
+    /// Usable slots of the targets that the instance dispatches to.
+    int slots = 0;
+
+    auto operator<=>(const AddressOption &) const = default;
+};
+
+/// Returns the dispatchers whose targets may serve the caller. Without any, some instances near the
+/// caller, which then get equal shares. Empty only if no instance is known. Thread-safe.
+std::vector<AddressOption> addressOptions(const DispatchInputs &inputs, const AddressQuery &query);
+
+/// Draws the addresses for one answer: each option with a probability in proportion to its
+/// capacity, so that the sum of all answers spreads callers over the capacity. Empty only if there
+/// is no option. Thread-safe if \a random is.
+std::vector<Address> drawAddresses(const std::vector<AddressOption> &options,
+                                   IRandomSource &random);
 
 } // namespace lycheebay
--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -56,6 +56,8 @@
     std::string id;
     Address address;
     std::string failureDomain;
+    /// Size relative to the smallest instance; larger ones get more work. Above 0.
+    double weight = 1;
 
     auto operator<=>(const GatewayInstance &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,8 +21,7 @@
 // An instance that just started may not see the others yet, and must not take cold targets on top
 // of theirs.
 constexpr Duration kColdHoldAfterStart = std::chrono::seconds(4);
-// Cold targets are used by the first dispatchers of a service only.
-constexpr std::size_t kColdDispatchers = 1;
+constexpr std::size_t kMostAddressOptions = 1000;
 
 } // namespace
 
@@ -151,12 +150,20 @@
     const auto drained = m_blackboard.drainedDomains.read();
     if (!configuration || !instances)
         return {};
-    const TargetList noTargets;
-    const DrainedDomains noDomains;
-    const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
-                                 drained ? *drained : noDomains, *instances, m_settings.regions };
-    std::vector<Address> addresses =
-            chooseAddresses(inputs, query, m_settings.dispatchersPerDomain, m_context.random);
+    const std::string key = query.host + '/' + query.failureDomain + '/' + query.region;
+    auto known = m_addressOptions.find(key);
+    if (known == m_addressOptions.end()) {
+        // Hosts come from callers: the bound keeps made-up ones from filling the memory.
+        if (m_addressOptions.size() >= kMostAddressOptions)
+            m_addressOptions.clear();
+        const TargetList noTargets;
+        const DrainedDomains noDomains;
+        const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
+                                     drained ? *drained : noDomains, *instances,
+                                     m_settings.regions };
+        known = m_addressOptions.emplace(key, addressOptions(inputs, query)).first;
+    }
+    std::vector<Address> addresses = drawAddresses(known->second, m_context.random);
     m_metrics.countAddressAnswer(addresses.empty());
     return addresses;
 }
@@ -195,46 +202,47 @@
     if (!configuration)
         return;
     const auto targets = m_blackboard.targets.read();
+    forgetAddressOptions();
+    const bool ownershipCertain =
+            instances && m_context.clock.now() - m_startedAt >= kColdHoldAfterStart;
     const std::size_t instanceCount = instances ? instances->instances.size() : 1;
     m_metrics.setInstances(instanceCount);
     m_metrics.setTargets(targets ? targets->targets.size() : 0);
     for (const auto &[service, dispatcher] : m_dispatchers) {
         const ServiceProperties *known = findService(*configuration, service);
         const ServiceProperties properties = known ? *known : ServiceProperties();
-        dispatcher->configure(properties, poolTargets(service), isDispatcherOf(service));
+        dispatcher->configure(properties, poolTargets(service), ownershipCertain);
         dispatcher->retries().setBudget(m_settings.retryBudget, instanceCount);
     }
 }
 
-bool Gateway::isDispatcherOf(const std::string &service) const
-{
-    const auto instances = m_blackboard.instances.read();
-    if (!instances || m_context.clock.now() - m_startedAt < kColdHoldAfterStart)
-        return false;
-    const auto configuration = m_blackboard.configuration.read();
-    const auto dispatchers = dispatchersOf(*instances, dispatchGroup(*configuration, service),
-                                           m_settings.failureDomain, kColdDispatchers);
-    return std::any_of(dispatchers.begin(), dispatchers.end(),
-                       [&](const GatewayInstance &it) { return it.id == m_settings.instanceId; });
-}
-
 std::vector<PoolTarget> Gateway::poolTargets(const std::string &service) const
 {
+    const auto configuration = m_blackboard.configuration.read();
     const auto targets = m_blackboard.targets.read();
     const auto drained = m_blackboard.drainedDomains.read();
+    const auto instances = m_blackboard.instances.read();
     std::vector<PoolTarget> selected;
     if (!targets)
         return selected;
+    const DrainedDomains noDomains;
+    const InstanceList noInstances;
+    const DispatchInputs inputs{ *configuration, *targets, drained ? *drained : noDomains,
+                                 instances ? *instances : noInstances, m_settings.regions };
+    const auto dispatchers = dispatchersOf(inputs, service, m_settings.failureDomain);
+    const auto &domains = inputs.drained.domains;
     for (const TargetRecord &it : targets->targets) {
         if (it.service != service)
             continue;
         const auto region = m_settings.regions.find(it.failureDomain);
         const bool isDrained =
-                drained
-                && std::find(drained->domains.begin(), drained->domains.end(), it.failureDomain)
-                           != drained->domains.end();
+                std::find(domains.begin(), domains.end(), it.failureDomain) != domains.end();
+        Proximity proximity = proximityOf(it.failureDomain);
+        const GatewayInstance *owner = ownerOf(dispatchers, it);
+        if (proximity == Proximity::SameDomain && owner && owner->id == m_settings.instanceId)
+            proximity = Proximity::Owned;
         selected.push_back({ it, region == m_settings.regions.end() ? "" : region->second,
-                             proximityOf(it.failureDomain), isDrained });
+                             proximity, isDrained });
     }
     return selected;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,8 +23,6 @@
     DomainRegions regions;
     RetryBudget retryBudget;
     ServicePoolSettings pool;
-    /// Dispatchers of a service in a failure domain that callers are told of.
-    std::size_t dispatchersPerDomain = 1;
     /// Time between the stop signal and the forced end.
     Duration gracePeriod = std::chrono::seconds(6);
     std::size_t maxCallerConnections = 2000;
@@ -93,7 +91,7 @@
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
     void configureDispatchers();
     std::vector<PoolTarget> poolTargets(const std::string &service) const;
-    bool isDispatcherOf(const std::string &service) const;
+    void forgetAddressOptions() { m_addressOptions.clear(); }
     ServiceDispatcher &dispatcherOf(const std::string &service, const Route &route);
     Proximity proximityOf(const std::string &failureDomain) const;
 
@@ -105,6 +103,8 @@
     HttpListener m_listener;
     ITargetListRefresher *m_refresher = nullptr;
     StringMap<std::unique_ptr<ServiceDispatcher>> m_dispatchers;
+    /// By host and region of the caller, as long as nothing changes.
+    StringMap<std::vector<AddressOption>> m_addressOptions;
     TimePoint m_startedAt;
     TimerSubscription m_coldHoldTimer;
     std::optional<LeavingPlan> m_leaving;
--- a/src/gateway/internal/servicedispatcher.cpp
+++ b/src/gateway/internal/servicedispatcher.cpp
@@ -33,12 +33,11 @@
 }
 
 void ServiceDispatcher::configure(const ServiceProperties &properties,
-                                  const std::vector<PoolTarget> &targets, bool ownsTargets)
+                                  const std::vector<PoolTarget> &targets, bool ownershipCertain)
 {
     m_healthPath = properties.healthPath;
-    m_ownsTargets = ownsTargets;
     m_pool.setTargets(targets);
-    m_pool.setColdPolicy(properties.coldRequestsPerSecond, ownsTargets);
+    m_pool.setColdPolicy(properties.coldRequestsPerSecond, ownershipCertain);
     StringMap<IntrusivePtr<BackendLink>> links;
     for (const PoolTarget &it : targets) {
         const std::string key = targetKey(it.record);
--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -33,9 +33,9 @@
     ServiceDispatcher(const ServiceDispatcher &) = delete;
     ServiceDispatcher &operator=(const ServiceDispatcher &) = delete;
 
-    /// \a ownsTargets tells that this instance is a dispatcher of the service.
+    /// \a ownershipCertain is false while this instance may not see the other dispatchers yet.
     void configure(const ServiceProperties &properties, const std::vector<PoolTarget> &targets,
-                   bool ownsTargets);
+                   bool ownershipCertain);
 
     /// Queues a request. Precondition: \a request lives until it was placed, refused or cancelled.
     void submit(const Ticket &ticket, IDispatchedRequest &request);
@@ -72,7 +72,6 @@
     TimerSubscription m_soonTimer;
     TimerSubscription m_idleTimer;
     TimePoint m_lastRequestAt;
-    bool m_ownsTargets = false;
     bool m_running = false;
     bool m_runAgain = false;
 };
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -80,7 +80,7 @@
     // Ranked as if they were in one failure domain: one reader serves the whole region.
     for (GatewayInstance &it : region.instances)
         it.failureDomain.clear();
-    const auto readers = dispatchersOf(region, kReaderGroup, "", 1);
+    const auto readers = rankedInstances(region, kReaderGroup, "", 1);
     const std::string reader = readers.empty() ? m_settings.instanceId : readers.front().id;
     if (reader == m_reader)
         return;
@@ -151,9 +151,10 @@
 }
 
 void EstateCoordinator::targetsRead(const IntrusivePtr<const TargetList> &targets,
-                                    TimePoint startedAt)
+                                    TimePoint startedAt, bool settled)
 {
     m_lastReadAt = startedAt;
+    m_settled = settled;
     if (targets) {
         m_failures = 0;
         m_asOf = std::max(m_asOf.value_or(startedAt), startedAt);
@@ -225,7 +226,8 @@
 
 void EstateCoordinator::sendNewsTo(LinkId link)
 {
-    if (!m_asOf)
+    // Others may know better than a list with targets that are perhaps gone.
+    if (!m_asOf || !m_settled)
         return;
     Told &told = m_followers[link];
     EstateNews news{ *m_asOf, m_source.configurationPosition(), {}, {} };
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -42,7 +42,8 @@
     /// Starts to read. Errors: Unavailable when the links cannot be started.
     absl::Status start();
 
-    void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt) override;
+    void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
+                     bool settled) override;
     void configurationRead() override;
     void instancesChanged() override;
     void instancesRead(const IntrusivePtr<const InstanceList> &instances) override;
@@ -96,6 +97,8 @@
     std::optional<TimePoint> m_lastReadAt;
     std::optional<TimePoint> m_lastUseAt;
     int m_failures = 0;
+    /// The last list read may be passed on.
+    bool m_settled = false;
     /// The instances changed while the reader's news were relied on.
     bool m_instancesMissed = false;
     TimerSubscription m_timer;
--- a/src/gateway/relay/estatenews.cpp
+++ b/src/gateway/relay/estatenews.cpp
@@ -3,6 +3,7 @@
 #include "relay_generated.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lycheebay {
 
@@ -93,11 +94,13 @@
 
 absl::Status decodeInstance(const relaywire::Instance &instance, InstancesChange &change)
 {
-    if (!isName(instance.id()) || !isName(instance.host()) || !isName(instance.failure_domain()))
-        return absl::InvalidArgumentError("instance with a bad name");
+    if (!isName(instance.id()) || !isName(instance.host()) || !isName(instance.failure_domain())
+        || !(instance.weight() > 0) || !std::isfinite(instance.weight()))
+        return absl::InvalidArgumentError("instance with a bad name or weight");
     change.put.push_back({ instance.id()->str(),
                            { instance.host()->str(), instance.port() },
-                           instance.failure_domain()->str() });
+                           instance.failure_domain()->str(),
+                           instance.weight() });
     return absl::OkStatus();
 }
 
@@ -188,6 +191,7 @@
         instance->host = it.address.host;
         instance->port = it.address.port;
         instance->failure_domain = it.failureDomain;
+        instance->weight = it.weight;
         message.instances.push_back(std::move(instance));
     }
     message.removed_instances = news.instances.removed;
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -13,8 +13,10 @@
     virtual ~IEstateSourceListener() = default;
 
     /// A read of the targets, which began at \a startedAt, ended. \a targets is null if it failed.
-    virtual void targetsRead(const IntrusivePtr<const TargetList> &targets,
-                             TimePoint startedAt) = 0;
+    /// \a settled is false while the list may still name targets that are gone, because contact
+    /// with the platform was lost shortly before.
+    virtual void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
+                             bool settled) = 0;
     /// The configuration was read up to a further position.
     virtual void configurationRead() = 0;
     /// The platform's list of instances changed; readInstances() shows it.
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -239,8 +239,8 @@
                                                                      TimePoint now)
 {
     for (const bool allowEjected : { false, true }) {
-        for (const Proximity proximity :
-             { Proximity::SameDomain, Proximity::SameRegion, Proximity::OtherRegion }) {
+        for (const Proximity proximity : { Proximity::Owned, Proximity::SameDomain,
+                                           Proximity::SameRegion, Proximity::OtherRegion }) {
             std::vector<TargetState *> targets;
             for (TargetState &it : m_targets) {
                 if (it.target.proximity == proximity && isEligible(it, ticket, now, allowEjected))
@@ -261,7 +261,7 @@
     if (!ticket.homeRegions.empty() && !contains(ticket.homeRegions, it.target.region))
         return false;
     // One that was never heard of may be cold or not; it is asked before it gets a request.
-    if (!it.unseen && isCold(it, now) && !m_mayUseCold)
+    if (!it.unseen && isCold(it, now) && !mayUseCold(it))
         return false;
     // A target that answers no probes is not tried for want of better ones.
     return allowEjected ? !it.health.isSilent() : !it.health.isEjected(now);
@@ -279,6 +279,11 @@
     return it.unseen || now < it.coldUntil;
 }
 
+bool ServicePool::mayUseCold(const TargetState &it) const
+{
+    return m_mayUseCold && it.target.proximity == Proximity::Owned;
+}
+
 int ServicePool::limitOf(const TargetState &it, TimePoint now) const
 {
     if (isCold(it, now))
@@ -288,7 +293,7 @@
 
 int ServicePool::freeSlots(const TargetState &it, TimePoint now) const
 {
-    if (isCold(it, now) && (!m_mayUseCold || now < it.nextColdStart))
+    if (isCold(it, now) && (!mayUseCold(it) || now < it.nextColdStart))
         return 0;
     return limitOf(it, now) - it.inFlight - foreignOf(it, now);
 }
@@ -314,7 +319,7 @@
 void ServicePool::probeIdle(TimePoint now, PoolDecisions &decisions)
 {
     for (TargetState &it : m_targets) {
-        if (it.target.proximity != Proximity::SameDomain || it.target.record.leaving)
+        if (it.target.proximity != Proximity::Owned || it.target.record.leaving)
             continue;
         TimePoint last = TimePoint::min();
         if (it.loadAt)
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -13,15 +13,20 @@
 
 namespace lycheebay {
 
-/// How far a target is from the instance. Nearer ones are used as long as they have room.
-enum class Proximity { SameDomain, SameRegion, OtherRegion };
+/// How near a target is to the instance. Nearer ones are used as long as any of them can be.
+enum class Proximity {
+    Owned,      ///< this instance is the one that dispatches to it
+    SameDomain, ///< another instance of the failure domain dispatches to it
+    SameRegion,
+    OtherRegion,
+};
 
 /// A target as one pool sees it.
 struct PoolTarget
 {
     TargetRecord record;
     std::string region;
-    Proximity proximity = Proximity::SameDomain;
+    Proximity proximity = Proximity::Owned;
     /// The target's failure domain is drained.
     bool drained = false;
 
@@ -119,8 +124,8 @@
 
     /// Replaces the targets; the state of those that stay is kept.
     void setTargets(const std::vector<PoolTarget> &targets);
-    /// Sets the pace for cold targets. \a mayUseCold is false on instances that do not own the
-    /// targets, since their requests would come on top of the owner's.
+    /// Sets the pace for cold targets. Only owned ones are used, since requests of others would come
+    /// on top of the owner's; \a mayUseCold is false while the ownership is not certain.
     void setColdPolicy(double requestsPerSecond, bool mayUseCold);
 
     /// Adds a ticket. Precondition: its id is not in the queue.
@@ -170,6 +175,7 @@
 
     TargetState *find(const std::string &key);
     bool isCold(const TargetState &it, TimePoint now) const;
+    bool mayUseCold(const TargetState &it) const;
     int limitOf(const TargetState &it, TimePoint now) const;
     int freeSlots(const TargetState &it, TimePoint now) const;
     int foreignOf(const TargetState &it, TimePoint now) const;
--- a/src/gateway/tests/dispatchplantest.cpp
+++ b/src/gateway/tests/dispatchplantest.cpp
@@ -12,6 +12,8 @@
 {
     CPPUNIT_TEST_SUITE(DispatchPlanTest);
     CPPUNIT_TEST(lostInstanceMovesOnlyItsOwnGroups);
+    CPPUNIT_TEST(largerInstancesGetMore);
+    CPPUNIT_TEST(targetsAreDividedAmongDispatchers);
     CPPUNIT_TEST(servicesThatShareAHostAreOneGroup);
     CPPUNIT_TEST(answersSpreadByCapacity);
     CPPUNIT_TEST(drainedDomainIsLeftOut);
@@ -51,13 +53,17 @@
         }
     }
 
+    DispatchInputs inputs() const
+    {
+        return { m_configuration, m_targets, m_drained, m_instances, m_regions };
+    }
+
     std::map<std::string, int> answers(const AddressQuery &query, int n = 2000)
     {
         std::map<std::string, int> counts;
         for (int i = 0; i < n; ++i) {
-            for (const Address &it :
-                 chooseAddresses({ m_configuration, m_targets, m_drained, m_instances, m_regions },
-                                 query, 1, m_random))
+            const auto options = addressOptions(inputs(), query);
+            for (const Address &it : drawAddresses(options, m_random))
                 ++counts[it.host.substr(0, 2)];
         }
         return counts;
@@ -83,7 +89,7 @@
     {
         std::map<std::string, std::string> before;
         const auto owner = [&](const std::string &group) {
-            return dispatchersOf(m_instances, group, "a1", 1).front().id;
+            return rankedInstances(m_instances, group, "a1", 1).front().id;
         };
         for (int i = 0; i < 200; ++i)
             before["g" + std::to_string(i)] = owner("g" + std::to_string(i));
@@ -95,6 +101,41 @@
         }
     }
 
+    // Guards against the smallest machines getting as much as the largest.
+    void largerInstancesGetMore()
+    {
+        m_instances.instances[0].weight = 6;
+        int large = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const auto first = rankedInstances(m_instances, "g" + std::to_string(i), "a1", 1);
+            large += first.front().id == m_instances.instances[0].id ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(large > 1200 && large < 1470); // six ninths of 2000
+    }
+
+    // Load: a domain with more slots than one dispatcher serves. Each target has one owner, and
+    // one that is added moves no other.
+    void targetsAreDividedAmongDispatchers()
+    {
+        addTargets("a1", 60);
+        const auto dispatchers = dispatchersOf(inputs(), "s", "a1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, dispatchers.size());
+        std::map<std::string, int> owned;
+        std::map<std::string, std::string> owners;
+        for (const TargetRecord &it : m_targets.targets) {
+            owners[it.id] = ownerOf(dispatchers, it)->id;
+            ++owned[owners[it.id]];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, owned.size());
+        addTargets("a1", 2, "t");
+        for (const TargetRecord &it : m_targets.targets) {
+            if (owners.contains(it.id))
+                CPPUNIT_ASSERT_EQUAL(owners[it.id],
+                                     ownerOf(dispatchersOf(inputs(), "s", "a1"), it)->id);
+        }
+        CPPUNIT_ASSERT(!ownerOf({}, m_targets.targets.front()));
+    }
+
     // Guards against two instances that count the same targets apart.
     void servicesThatShareAHostAreOneGroup()
     {
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(formerReaderTellsItsFollowers);
     CPPUNIT_TEST(onlyTheReaderReadsWhileItsNewsCome);
     CPPUNIT_TEST(followerReadsWhenNewsAreLate);
+    CPPUNIT_TEST(unsettledListIsNotPassedOn);
     CPPUNIT_TEST(idleInstanceReadsForARequest);
     CPPUNIT_TEST(requestsDoNotWaitWhileThePlatformIsAway);
     CPPUNIT_TEST(missedConfigurationIsCaughtUp);
@@ -180,7 +181,7 @@
     void formerReaderTellsItsFollowers()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
         m_reader->links.sent.clear();
         auto others = makeRef<InstanceList>();
         for (int i = 1; i <= 40; ++i) {
@@ -198,14 +199,14 @@
     void onlyTheReaderReadsWhileItsNewsCome()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
         passFrames();
         CPPUNIT_ASSERT(*m_follower->blackboard.targets.read() == *listOf("t"));
         m_follower->coordinator.noteUse();
         const int before = m_follower->source.reads;
         for (int i = 0; i < 4; ++i) {
             runFor(500ms);
-            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
             passFrames();
         }
         CPPUNIT_ASSERT_EQUAL(before, m_follower->source.reads);
@@ -222,7 +223,7 @@
         // An instance that has just started waits a little longer for its first news.
         for (int i = 0; i < 7; ++i) {
             runFor(500ms);
-            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
             passFrames();
         }
         m_follower->coordinator.noteUse();
@@ -236,6 +237,18 @@
         CPPUNIT_ASSERT(m_follower->source.wait <= 1s);
     }
 
+    // Guards against a reader that was cut from the platform and still lists targets which the
+    // others know to be gone.
+    void unsettledListIsNotPassedOn()
+    {
+        makePair();
+        m_reader->links.sent.clear();
+        m_reader->coordinator.targetsRead(listOf("gone"), m_loop->clock.now(), false);
+        CPPUNIT_ASSERT(m_reader->links.sent.empty());
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
+    }
+
     void idleInstanceReadsForARequest()
     {
         Instance alone(*m_loop, m_random, "10.0.0.9:80");
@@ -244,7 +257,7 @@
         alone.coordinator.whenRecent([&] { served = true; });
         CPPUNIT_ASSERT(!served);
         CPPUNIT_ASSERT_EQUAL(before + 1, alone.source.reads);
-        alone.coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+        alone.coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
         CPPUNIT_ASSERT(served);
         bool servedAtOnce = false;
         alone.coordinator.whenRecent([&] { servedAtOnce = true; });
@@ -255,7 +268,7 @@
     void requestsDoNotWaitWhileThePlatformIsAway()
     {
         Instance alone(*m_loop, m_random, "10.0.0.9:80");
-        alone.coordinator.targetsRead(nullptr, m_loop->clock.now());
+        alone.coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
         bool served = false;
         alone.coordinator.whenRecent([&] { served = true; });
         CPPUNIT_ASSERT(served);
@@ -266,7 +279,7 @@
     {
         makePair();
         m_reader->source.position = 9;
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now());
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
         passFrames();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, m_follower->source.caughtUp);
     }
--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -37,7 +37,7 @@
     std::vector<PoolTarget> m_targets;
     TicketId m_lastTicket = 0;
 
-    PoolTarget target(const std::string &id, Proximity proximity = Proximity::SameDomain) const
+    PoolTarget target(const std::string &id, Proximity proximity = Proximity::Owned) const
     {
         TargetRecord record;
         record.id = id;
