Give late requests only the room that those in time leave

Cause: under overload the queue served the oldest request first, so that after one burst every request was late; callers who came back after a refusal took the slots of new ones. Change: requests that can be in time go first; late ones get what is left and are refused soon; a request is refused when its expected start is too late; how long a caller waited before is told by the deadline that it has left.

--- a/src/gateway/dispatchplan.cpp
+++ b/src/gateway/dispatchplan.cpp
@@ -203,8 +203,8 @@
     std::map<Address, int> slots;
     for (const TargetRecord &it : inputs.targets.targets) {
         const bool usable = !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
-                && contains(needs.services, it.service)
-                && needs.allows(regionOf(inputs, it.failureDomain));
+                            && contains(needs.services, it.service)
+                            && needs.allows(regionOf(inputs, it.failureDomain));
         if (!usable)
             continue;
         auto known = dispatchers.find(it.failureDomain);
--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -35,8 +35,8 @@
 std::vector<GatewayInstance> rankedInstances(const InstanceList &instances, std::string_view group,
                                              std::string_view failureDomain, std::size_t count);
 
-/// Returns the instances that dispatch to the targets of a service in \a failureDomain: one for each
-/// 64 slots of the service's group, so that a dispatcher's load does not grow with the estate.
+/// Returns the instances that dispatch to the targets of a service in \a failureDomain: one for
+/// each 64 slots of the service's group, so that a dispatcher's load does not grow with the estate.
 /// Thread-safe.
 std::vector<GatewayInstance> dispatchersOf(const DispatchInputs &inputs, const std::string &service,
                                            const std::string &failureDomain);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,7 +120,18 @@
     }
     const RoutePart &part = chooseRoutePart(*route, m_context.random);
     ServiceDispatcher &dispatcher = dispatcherOf(part.service, *route);
-    makeRef<ProxiedRequest>(m_context, exchange, configuration, *route, dispatcher, terms)->start();
+    const Duration waited = waitedBefore(*route, terms);
+    makeRef<ProxiedRequest>(m_context, exchange, configuration, *route, dispatcher, terms, waited)
+            ->start();
+}
+
+Duration Gateway::waitedBefore(const Route &route, const CallerTerms &terms)
+{
+    if (!terms.deadline)
+        return Duration::zero();
+    Duration &full = m_fullDeadlines[route.name];
+    full = std::max(full, *terms.deadline);
+    return std::min(full - *terms.deadline, route.targetLatency);
 }
 
 void Gateway::refuse(HttpExchange &exchange, int status, const char *reason,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -87,6 +87,8 @@
 private:
     void handle(const IntrusivePtr<HttpExchange> &exchange);
     void proxy(const IntrusivePtr<HttpExchange> &exchange);
+    /// Returns how long a caller waited in earlier attempts, judged by the deadline that is left.
+    Duration waitedBefore(const Route &route, const CallerTerms &terms);
     void refuse(HttpExchange &exchange, int status, const char *reason, const CallerTerms &terms);
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
     void configureDispatchers();
@@ -103,6 +105,8 @@
     HttpListener m_listener;
     ITargetListRefresher *m_refresher = nullptr;
     StringMap<std::unique_ptr<ServiceDispatcher>> m_dispatchers;
+    /// Longest deadline that callers of a route gave; those who come back have less left.
+    StringMap<Duration> m_fullDeadlines;
     /// By host and region of the caller, as long as nothing changes.
     StringMap<std::vector<AddressOption>> m_addressOptions;
     TimePoint m_startedAt;
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -29,6 +29,8 @@
 // An answer that takes this multiple of what was expected counts against the target when the
 // request had to be given up.
 constexpr double kSlowTargetFactor = 2.5;
+// A request that comes back too late for its objective waits for this part of the target latency.
+constexpr int kLateWaitDivisor = 4;
 constexpr double kPercent = 100;
 constexpr Duration kRefusalRetryAfter = milliseconds(200);
 
@@ -51,7 +53,7 @@
 ProxiedRequest::ProxiedRequest(GatewayContext &context, IntrusivePtr<HttpExchange> exchange,
                                IntrusivePtr<const GatewayConfiguration> configuration,
                                const Route &route, ServiceDispatcher &dispatcher,
-                               const CallerTerms &terms)
+                               const CallerTerms &terms, Duration waitedBefore)
     : m_context(context)
     , m_exchange(std::move(exchange))
     , m_configuration(std::move(configuration))
@@ -63,7 +65,8 @@
     m_ticket.id = dispatcher.nextTicketId();
     m_ticket.priority = route.priority;
     m_ticket.arrival = now;
-    m_ticket.objective = now + route.targetLatency;
+    m_ticket.objective = now + route.targetLatency - waitedBefore;
+    m_ticket.refuseAt = std::max(m_ticket.objective, now + route.targetLatency / kLateWaitDivisor);
     m_ticket.giveUp = now + std::min(terms.deadline.value_or(route.timeout), route.timeout);
     m_ticket.homeRegions = route.homeRegions;
 }
@@ -254,6 +257,7 @@
         return false;
     // A repeat may use the rest of the time, since a late answer is better than none.
     m_ticket.objective = m_ticket.giveUp;
+    m_ticket.refuseAt = m_ticket.giveUp;
     queue();
     return true;
 }
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -24,10 +24,11 @@
 class ProxiedRequest final : public RefCounted, public IDispatchedRequest
 {
 public:
-    /// Precondition: \a route belongs to \a configuration.
+    /// \a waitedBefore is how long the caller waited in earlier attempts. Precondition: \a route
+    /// belongs to \a configuration.
     ProxiedRequest(GatewayContext &context, IntrusivePtr<HttpExchange> exchange,
                    IntrusivePtr<const GatewayConfiguration> configuration, const Route &route,
-                   ServiceDispatcher &dispatcher, const CallerTerms &terms);
+                   ServiceDispatcher &dispatcher, const CallerTerms &terms, Duration waitedBefore);
 
     void start();
 
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -92,19 +92,28 @@
     PoolDecisions decisions;
     std::vector<Ticket> waiting;
     m_ahead = 0;
-    for (const Ticket &it : m_queue) {
-        if (decideTicket(it, now, decisions))
-            continue;
-        waiting.push_back(it);
-        ++m_ahead;
+    for (const bool inTime : { true, false }) {
+        for (const Ticket &it : m_queue) {
+            if (canBeInTime(it, now) != inTime || decideTicket(it, now, decisions))
+                continue;
+            waiting.push_back(it);
+            ++m_ahead;
+        }
     }
-    m_queue = std::move(waiting);
+    m_queue.clear();
+    for (const Ticket &it : waiting)
+        enqueue(it);
     if (!m_queue.empty())
         checkAgain(now + kQueueCheckPeriod, decisions);
     probeIdle(now, decisions);
     return decisions;
 }
 
+bool ServicePool::canBeInTime(const Ticket &ticket, TimePoint now) const
+{
+    return now + m_workTime.usual() <= ticket.objective;
+}
+
 bool ServicePool::decideTicket(const Ticket &ticket, TimePoint now, PoolDecisions &decisions)
 {
     const std::vector<TargetState *> targets = eligibleTargets(ticket, now);
@@ -112,7 +121,7 @@
         refuse(ticket, RefusalReason::NoTarget, now, decisions);
         return true;
     }
-    if (now + m_workTime.usual() / 2 >= ticket.giveUp || now >= ticket.objective) {
+    if (now + m_workTime.usual() / 2 >= ticket.giveUp) {
         refuse(ticket, RefusalReason::WaitedLong, now, decisions);
         return true;
     }
@@ -125,22 +134,40 @@
     }
     std::erase_if(free, [&](const TargetState *it) { return freeSlots(*it, now) <= 0; });
     const Choice choice = fastest(free, now);
+    return canBeInTime(ticket, now) ? decideInTime(ticket, targets, choice, now, decisions)
+                                    : decideLate(ticket, choice, now, decisions);
+}
+
+bool ServicePool::decideInTime(const Ticket &ticket, const std::vector<TargetState *> &targets,
+                               const Choice &choice, TimePoint now, PoolDecisions &decisions)
+{
+    if (choice.target && now + choice.expected <= ticket.objective) {
+        place(ticket, choice, now, decisions);
+        return true;
+    }
     const TimePoint latestStart = ticket.objective - m_workTime.usual();
-    const bool inTime = choice.target && now + choice.expected <= ticket.objective;
+    if (now + expectedWait(targets, m_ahead, now) > latestStart) {
+        refuse(ticket, RefusalReason::QueueFull, now, decisions);
+        return true;
+    }
+    checkAgain(std::max(latestStart, now + kQueueCheckPeriod), decisions);
+    return false;
+}
+
+bool ServicePool::decideLate(const Ticket &ticket, const Choice &choice, TimePoint now,
+                             PoolDecisions &decisions)
+{
     // A late answer is better than none, but a run that the caller does not wait for takes a slot
     // from others.
-    const bool tooLateAnyway =
-            choice.target && now >= latestStart && now + choice.expected <= ticket.giveUp;
-    if (inTime || tooLateAnyway) {
+    if (m_ahead == 0 && choice.target && now + choice.expected <= ticket.giveUp) {
         place(ticket, choice, now, decisions);
         return true;
     }
-    const Duration wait = expectedWait(targets, m_ahead, now);
-    if (now + wait > ticket.objective) {
-        refuse(ticket, RefusalReason::QueueFull, now, decisions);
+    if (now >= ticket.refuseAt) {
+        refuse(ticket, RefusalReason::WaitedLong, now, decisions);
         return true;
     }
-    checkAgain(std::max(latestStart, now + kQueueCheckPeriod), decisions);
+    checkAgain(ticket.refuseAt, decisions);
     return false;
 }
 
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -45,8 +45,10 @@
     /// 0 is the most urgent.
     int priority = 0;
     TimePoint arrival;
-    /// Until then an answer has its full value.
+    /// Until then an answer has its full value. May lie in the past.
     TimePoint objective;
+    /// A ticket that can no longer meet its objective is refused if it has no target by then.
+    TimePoint refuseAt;
     /// The caller or the route waits no longer.
     TimePoint giveUp;
     /// Regions that may serve the request; empty means all.
@@ -114,9 +116,10 @@
 
 /// The targets of one service and the requests that wait for them. It answers load at which targets
 /// are unequally slow from one moment to the next: a request is placed at a free target that can
-/// serve it within its objective, waits as long as one may still turn up, is then placed wherever
-/// there is room, and is refused at once when the expected wait is too long.
-/// Pure and not thread-safe. `now` never goes backwards.
+/// serve it within its objective, waits as long as one may still turn up, and is refused at once
+/// when the expected wait is too long. Requests that are late already get what room the others
+/// leave, so that one burst does not make all later requests late. Pure and not thread-safe. `now`
+/// never goes backwards.
 class ServicePool
 {
 public:
@@ -124,8 +127,8 @@
 
     /// Replaces the targets; the state of those that stay is kept.
     void setTargets(const std::vector<PoolTarget> &targets);
-    /// Sets the pace for cold targets. Only owned ones are used, since requests of others would come
-    /// on top of the owner's; \a mayUseCold is false while the ownership is not certain.
+    /// Sets the pace for cold targets. Only owned ones are used, since requests of others would
+    /// come on top of the owner's; \a mayUseCold is false while the ownership is not certain.
     void setColdPolicy(double requestsPerSecond, bool mayUseCold);
 
     /// Adds a ticket. Precondition: its id is not in the queue.
@@ -187,8 +190,13 @@
     Choice fastest(const std::vector<TargetState *> &targets, TimePoint now) const;
     bool askForLoad(const std::vector<TargetState *> &targets, const Ticket &ticket, TimePoint now,
                     PoolDecisions &decisions);
-    /// Returns true if the ticket left the queue.
+    bool canBeInTime(const Ticket &ticket, TimePoint now) const;
+    /// These return true if the ticket left the queue.
     bool decideTicket(const Ticket &ticket, TimePoint now, PoolDecisions &decisions);
+    bool decideInTime(const Ticket &ticket, const std::vector<TargetState *> &targets,
+                      const Choice &choice, TimePoint now, PoolDecisions &decisions);
+    bool decideLate(const Ticket &ticket, const Choice &choice, TimePoint now,
+                    PoolDecisions &decisions);
     void place(const Ticket &ticket, const Choice &choice, TimePoint now, PoolDecisions &decisions);
     void refuse(const Ticket &ticket, RefusalReason reason, TimePoint now,
                 PoolDecisions &decisions);
--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -26,7 +26,9 @@
     CPPUNIT_TEST(noTargetIsRefusedAtOnce);
     CPPUNIT_TEST(lateRunThatNobodyWaitsForIsNotStarted);
     CPPUNIT_TEST(cancelledTicketFreesNothing);
+    CPPUNIT_TEST(lateTicketLeavesTheSlotToOneInTime);
     CPPUNIT_TEST(slowSpellsCostFewerCallersThanRandomPlacement);
+    CPPUNIT_TEST(overloadDoesNotMakeEveryoneLate);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration kLatency = 600ms;
@@ -70,6 +72,7 @@
         it.id = ++m_lastTicket;
         it.arrival = m_clock.now();
         it.objective = m_clock.now() + kLatency;
+        it.refuseAt = it.objective;
         it.giveUp = m_clock.now() + deadline;
         return it;
     }
@@ -258,6 +261,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_pool->inFlight());
     }
 
+    // Guards against callers who come back too late taking the slots of those who can be in time.
+    void lateTicketLeavesTheSlotToOneInTime()
+    {
+        use({ target("a") });
+        readLoads({ 4 });
+        Ticket late = ticket();
+        late.objective = m_clock.now() - 100ms;
+        const Ticket inTime = ticket();
+        m_pool->enqueue(late);
+        m_pool->enqueue(inTime);
+        CPPUNIT_ASSERT(m_pool->decide(m_clock.now()).placements.empty());
+        m_clock.advance(50ms);
+        readLoads({ 1 });
+        const PoolDecisions decisions = m_pool->decide(m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, decisions.placements.size());
+        CPPUNIT_ASSERT_EQUAL(inTime.id, decisions.placements[0].ticket);
+    }
+
     /// Plays \a rate requests a second for 60 s at four targets, each slowed four times for a
     /// quarter of the time in spells of 300 ms. Work takes 220 ms. Returns the share of callers
     /// served within 600 ms. With \a chooses false, requests go to a random target at once.
@@ -335,6 +356,17 @@
                                    1 - chosen <= (1 - random) / 2);
         }
     }
+
+    // Load: 150% of what four targets with two useful slots each serve while they are slowed
+    // to 1.75 times the usual work time on average (20.8 requests a second). The best that can be
+    // is two thirds in time; the goal is three quarters of that.
+    void overloadDoesNotMakeEveryoneLate()
+    {
+        for (const std::uint64_t seed : { 1, 2, 3 }) {
+            const double inTime = playSlowSpells(31, true, seed);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(inTime), inTime >= 0.5);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
