--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "base/settingsreader.h"
 #include "estate/address.h"
 #include "routing/celldispatcher.h"
 
 #include <chrono>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,34 +47,12 @@
     auto operator<=>(const Settings &) const = default;
 };
 
-/// One setting as it is in force.
-struct SettingInForce
-{
-    std::string name;
-    std::string value;
-    /// "flag", "environment" or "default".
-    std::string source;
-
-    auto operator<=>(const SettingInForce &) const = default;
-};
-
 /// What the command line and the environment asked for.
-struct SettingsRequest
+struct SettingsRequest : SettingsReading
 {
     Settings settings;
-    std::vector<SettingInForce> inForce;
-    /// One message a fault, each naming the setting and what is allowed. The settings are usable
-    /// only when this is empty.
-    std::vector<std::string> faults;
-    /// --check-settings: print what is in force and exit.
-    bool checkOnly = false;
-    /// Text of --help or --version; empty otherwise.
-    std::string information;
 };
 
-/// Looks up an environment variable; null when it is not set.
-using EnvironmentLookup = std::function<const char *(const char *name)>;
-
 /// Reads all settings from flags, then from environment variables (LYCHEEBAY_ and the flag's name
 /// in upper case with underscores), then from defaults. Never throws. Thread-safe if \a environment
 /// is.
--- /dev/null
+++ b/src/gateway/gatewayoptions.cpp
@@ -0,0 +1,78 @@
+#include "gateway/gatewayoptions.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace lycheebay {
+
+namespace {
+
+template <typename T>
+bool parse(const std::string &text, T min, T max, T &value)
+{
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc() && parsed.ptr == end && value >= min && value <= max;
+}
+
+bool storeMilliseconds(const std::string &text, long min, long max, Duration &value)
+{
+    long ms = 0;
+    if (!parse(text, min, max, ms))
+        return false;
+    value = std::chrono::milliseconds(ms);
+    return true;
+}
+
+bool storeLogLevel(const std::string &text, std::string &level)
+{
+    constexpr std::array kLevels{ "TRACE", "DEBUG", "INFO", "WARN", "ERROR", "OFF" };
+    level = text;
+    return std::find(kLevels.begin(), kLevels.end(), text) != kLevels.end();
+}
+
+std::vector<SettingEntry> entriesOf(GatewayOptions &options)
+{
+    using Text = const std::string &;
+    return {
+        { "log-level", "Least level that is logged", "TRACE, DEBUG, INFO, WARN, ERROR or OFF",
+          "INFO", false, [&](Text it) { return storeLogLevel(it, options.logLevel); } },
+        { "max-log-lines", "Decisions logged a second; further ones are counted", "1 to 100000",
+          "300", false,
+          [&](Text it) { return parse(it, 1, 100'000, options.maxLogLinesPerSecond); } },
+        { "max-caller-connections", "Open connections of callers", "1 to 100000", "2000", false,
+          [&](Text it) {
+              return parse<std::size_t>(it, 1, 100'000, options.maxCallerConnections);
+          } },
+        { "address-life-ms", "How long callers may keep an address answer", "100 to 60000", "1500",
+          false, [&](Text it) { return storeMilliseconds(it, 100, 60'000, options.addressLife); } },
+        { "slot-share", "Share of a target's slots that is used", "0.1 to 1", "0.8", false,
+          [&](Text it) { return parse(it, 0.1, 1.0, options.pool.slotShare); } },
+        { "load-freshness-ms", "Age up to which a load reading is used without a new probe",
+          "1 to 1000", "40", false,
+          [&](Text it) { return storeMilliseconds(it, 1, 1000, options.pool.loadFreshness); } },
+        { "probe-wait-ms", "How long a request waits for a fresh load reading", "0 to 1000", "15",
+          false, [&](Text it) { return storeMilliseconds(it, 0, 1000, options.pool.probeWait); } },
+        { "idle-probe-ms", "Time without a response after which a target in use is probed",
+          "100 to 60000", "1000", false,
+          [&](Text it) {
+              return storeMilliseconds(it, 100, 60'000, options.pool.idleProbePeriod);
+          } },
+    };
+}
+
+} // namespace
+
+GatewayOptionsRequest readGatewayOptions(const std::string &program,
+                                         const std::vector<std::string> &arguments,
+                                         const EnvironmentLookup &environment)
+{
+    GatewayOptionsRequest request;
+    SettingsReading &reading = request;
+    reading = readSettingValues({ program, "load balancer gateway", entriesOf(request.options) },
+                                arguments, environment);
+    return request;
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/tests/gatewayoptionstest.cpp
@@ -0,0 +1,71 @@
+#include "gateway/gatewayoptions.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace lycheebay {
+
+using namespace std::chrono_literals;
+
+class GatewayOptionsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayOptionsTest);
+    CPPUNIT_TEST(defaultsAreThoseOfTheParts);
+    CPPUNIT_TEST(flagGoesBeforeEnvironment);
+    CPPUNIT_TEST(everyBadValueNamesItsSetting);
+    CPPUNIT_TEST_SUITE_END();
+
+    static GatewayOptionsRequest read(std::vector<std::string> arguments,
+                                      const std::map<std::string, std::string> &environment = {})
+    {
+        arguments.insert(arguments.begin(), "gatewayd");
+        return readGatewayOptions("gatewayd", arguments, [&](const char *name) -> const char * {
+            const auto it = environment.find(name);
+            return it == environment.end() ? nullptr : it->second.c_str();
+        });
+    }
+
+public:
+    void defaultsAreThoseOfTheParts()
+    {
+        const auto request = read({});
+        CPPUNIT_ASSERT(request.faults.empty());
+        CPPUNIT_ASSERT(request.options.pool == ServicePoolSettings());
+        CPPUNIT_ASSERT_EQUAL(std::string("INFO"), request.options.logLevel);
+    }
+
+    void flagGoesBeforeEnvironment()
+    {
+        const auto request =
+                read({ "--slot-share", "0.5" },
+                     { { "LYCHEEBAY_SLOT_SHARE", "0.6" }, { "LYCHEEBAY_PROBE_WAIT_MS", "7" } });
+        CPPUNIT_ASSERT(request.faults.empty());
+        CPPUNIT_ASSERT_EQUAL(0.5, request.options.pool.slotShare);
+        CPPUNIT_ASSERT(Duration(7ms) == request.options.pool.probeWait);
+    }
+
+    void everyBadValueNamesItsSetting()
+    {
+        const std::pair<const char *, const char *> cases[] = {
+            { "--log-level", "LOUD" },
+            { "--max-log-lines", "0" },
+            { "--slot-share", "1.5" },
+            { "--slot-share", "half" },
+            { "--address-life-ms", "" },
+            { "--load-freshness-ms", "0" },
+            { "--max-caller-connections", "-1" },
+        };
+        for (const auto &[flag, value] : cases) {
+            const auto request = read({ flag, value });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(flag, std::size_t{ 1 }, request.faults.size());
+            CPPUNIT_ASSERT(request.faults[0].find(flag) != std::string::npos);
+        }
+        CPPUNIT_ASSERT(!read({ "--unknown", "1" }).faults.empty());
+        CPPUNIT_ASSERT(!read({ "--help" }).information.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayOptionsTest);
+
+} // namespace lycheebay
