--- a/src/transport/peertransport.h
+++ b/src/transport/peertransport.h
@@ -4,10 +4,12 @@
 #include "transport/iothread.h"
 #include "transport/ipeerlinks.h"
 
-#include <asio/io_context.hpp>
-
 #include <memory>
 
+namespace asio {
+class io_context;
+}
+
 namespace lycheebay {
 
 struct PeerTransportSettings
