--- a/src/gateway/dispatchplan.cpp
+++ b/src/gateway/dispatchplan.cpp
@@ -218,6 +218,7 @@
             slots[owner->address] += it.slots;
     }
     std::vector<AddressOption> options;
+    options.reserve(slots.size());
     for (const auto &[address, count] : slots)
         options.push_back({ address, count });
     return options.empty() ? fallbackOptions(inputs.instances, query.failureDomain) : options;
