Refuse a late request at once while others in time wait

The new test fails without the change. lateTicketLeavesTheSlotToOneInTime now gives both a chance at one free slot, since its former scenario ends in the refusal.

--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -163,7 +163,8 @@
         place(ticket, choice, now, decisions);
         return true;
     }
-    if (now >= ticket.refuseAt) {
+    // With others in time ahead of it, it has little chance; the caller can do better elsewhere.
+    if (m_ahead > 0 || now >= ticket.refuseAt) {
         refuse(ticket, RefusalReason::WaitedLong, now, decisions);
         return true;
     }
