--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -44,10 +44,6 @@
     void finish(const std::string &key, AttemptVerdict verdict, std::optional<Duration> elapsed,
                 const TargetSignals &signals);
 
-    bool isUsable(const std::string &key) const
-    {
-        return m_pool.isUsable(key, m_context.clock.now());
-    }
     RetryWindow &retries() { return m_retries; }
     const std::string &service() const { return m_service; }
     TicketId nextTicketId() { return ++m_lastTicket; }
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -295,13 +295,6 @@
     return allowEjected ? !it.health.isSilent() : !it.health.isEjected(now);
 }
 
-bool ServicePool::isUsable(const std::string &key, TimePoint now) const
-{
-    const auto it = std::find_if(m_targets.begin(), m_targets.end(),
-                                 [&](const TargetState &state) { return state.key == key; });
-    return it != m_targets.end() && isEligible(*it, Ticket(), now, false);
-}
-
 bool ServicePool::isCold(const TargetState &it, TimePoint now) const
 {
     return it.unseen || now < it.coldUntil;
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -147,10 +147,7 @@
                 TimePoint now);
 
     std::size_t queueLength() const { return m_queue.size(); }
-    std::size_t targetCount() const { return m_targets.size(); }
     std::size_t inFlight() const;
-    /// True while the target would get a request if it had room.
-    bool isUsable(const std::string &key, TimePoint now) const;
     Duration usualWorkTime() const { return m_workTime.usual(); }
 
 private:
