--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -142,7 +142,7 @@
     if (m_role == Role::Reader)
         return false;
     const bool starting = m_clock.now() - m_startedAt < kStartTime;
-    return starting || (m_readerLink && isRecent(kLateNews));
+    return starting || isRecent(kLateNews);
 }
 
 void EstateCoordinator::chooseConfigurationWait()
