Let a reader that is stopped hand over to the next one

Change: a leaving instance takes itself out of its list, and as the reader tells its followers; an instance relies on coming news for 2 s after its start.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -30,7 +30,7 @@
 constexpr Duration kLongWait = seconds(28);
 
 // Time that an instance needs after its start to find the reader and hear from it.
-constexpr Duration kStartTime = seconds(3);
+constexpr Duration kStartTime = seconds(2);
 
 // Instances that are started together do so within some 300 ms, and are listed after some
 // renewals.
@@ -69,6 +69,19 @@
     return absl::OkStatus();
 }
 
+void EstateCoordinator::leave()
+{
+    const auto current = m_blackboard.instances.read();
+    if (!current)
+        return;
+    auto others = makeRef<InstanceList>();
+    for (const GatewayInstance &it : current->instances) {
+        if (it.id != m_settings.instanceId)
+            others->instances.push_back(it);
+    }
+    instancesRead(IntrusivePtr<const InstanceList>(others));
+}
+
 void EstateCoordinator::chooseReader(const InstanceList &instances)
 {
     InstanceList region;
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -41,6 +41,9 @@
 
     /// Starts to read. Errors: Unavailable when the links cannot be started.
     absl::Status start();
+    /// Takes this instance out of the list of instances; if it is the reader, its followers hear of
+    /// it at once and find the next one.
+    void leave();
 
     void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
                      bool settled) override;
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(badFramesAreRejected);
     CPPUNIT_TEST(changesTurnOneListIntoTheOther);
     CPPUNIT_TEST(formerReaderTellsItsFollowers);
+    CPPUNIT_TEST(leavingReaderHandsOver);
     CPPUNIT_TEST(onlyTheReaderReadsWhileItsNewsCome);
     CPPUNIT_TEST(followerReadsWhenNewsAreLate);
     CPPUNIT_TEST(unsettledListIsNotPassedOn);
@@ -195,6 +196,22 @@
         CPPUNIT_ASSERT(!news->instances.put.empty());
     }
 
+    // Guards against an instance that becomes the reader but does not learn of it while the former
+    // one, which leaves, still sends news.
+    void leavingReaderHandsOver()
+    {
+        makePair();
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        passFrames();
+        const int before = m_follower->source.reads;
+        m_reader->coordinator.leave();
+        passFrames();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             m_follower->blackboard.instances.read()->instances.size());
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads > before; }));
+        CPPUNIT_ASSERT(m_follower->source.wait <= 1s);
+    }
+
     // Guards against every instance reading the platform, which has a price a call.
     void onlyTheReaderReadsWhileItsNewsCome()
     {
