Relay the operator's records from the reader, compressed

Every instance read each configuration by itself. One with 1,400 routes filled the link between the regions; reads ended at their time bound and were made again, so the link stayed full (store traffic 86 MB), requests and closes of callers waited behind it, and version 4 was not in force 3 s after it was accepted. Change: the reader sends the operator's records with its news, zlib-compressed, one compression for all links; followers read by themselves at the start and when news are 1.5 s old. Records keep their offsets and never give way to older ones. One of the largest instances reads.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -24,10 +24,13 @@
 constexpr Duration kRetryPause = milliseconds(300);
 // A request does not wait longer than this for a read; the last known list serves then.
 constexpr Duration kLongestRequestWait = milliseconds(250);
-// Waits of one read of the configuration: short where a missed change must be found in time, long
-// where the reader's news would show it.
+// Waits of one read of the operator's records: short where a missed change must be found in time,
+// long before there is a first one.
 constexpr Duration kShortWait = milliseconds(1000);
 constexpr Duration kLongWait = seconds(28);
+// A reader that did not read the operator's records for this long sends no news, so that the
+// others read by themselves: a short wait, and the time that its answer takes.
+constexpr Duration kLateOperatorRead = milliseconds(1500);
 
 // Time that an instance needs after its start to find the reader and hear from it.
 constexpr Duration kStartTime = seconds(2);
@@ -62,8 +65,8 @@
     if (!status.ok())
         return status;
     m_startedAt = m_clock.now();
-    m_source.setConfigurationWait(kLongWait);
     m_source.start(*this);
+    chooseOperatorWait();
     m_lastReadAt = m_startedAt;
     m_source.readTargets();
     return absl::OkStatus();
@@ -90,6 +93,12 @@
         if (known != m_settings.regions.end() && known->second == m_settings.region)
             region.instances.push_back(it);
     }
+    // One of the largest, since a reader sends every change to the whole region; a small instance
+    // needs seconds to send a large configuration to all others.
+    double largest = 0;
+    for (const GatewayInstance &it : region.instances)
+        largest = std::max(largest, it.weight);
+    std::erase_if(region.instances, [&](const auto &it) { return it.weight < largest; });
     // Ranked as if they were in one failure domain: one reader serves the whole region.
     for (GatewayInstance &it : region.instances)
         it.failureDomain.clear();
@@ -105,7 +114,7 @@
         m_links.setDesired({});
     else
         m_links.setDesired({ { readers.front().address.host, m_settings.relayPort } });
-    chooseConfigurationWait();
+    chooseOperatorWait();
     schedule();
 }
 
@@ -127,15 +136,13 @@
     if (m_role == Role::Reader)
         return last + kReadPeriod - now;
     const bool inUse = m_lastUseAt && now - *m_lastUseAt < kIdleAfter;
-    const TimePoint late = std::max(m_asOf ? *m_asOf + kLateNews : now, m_startedAt + kStartTime);
     const TimePoint next = last + (inUse ? kReadPeriod : kIdleReadPeriod);
-    return std::max(late, next) - now;
+    return std::max(std::max(newsLateAt(), now), next) - now;
 }
 
 void EstateCoordinator::schedule()
 {
     m_timer = m_timers.after(std::max(readDelay(), Duration::zero()), [this] {
-        chooseConfigurationWait();
         // News may have come since the timer was set.
         if (readDelay() > Duration::zero()) {
             schedule();
@@ -154,13 +161,26 @@
 {
     if (m_role == Role::Reader)
         return false;
-    const bool starting = m_clock.now() - m_startedAt < kStartTime;
-    return starting || isRecent(kLateNews);
+    return m_clock.now() < newsLateAt();
 }
 
-void EstateCoordinator::chooseConfigurationWait()
+TimePoint EstateCoordinator::newsLateAt() const
 {
-    m_source.setConfigurationWait(reliesOnReader() ? kLongWait : kShortWait);
+    const TimePoint started = m_startedAt + kStartTime;
+    return m_asOf ? std::max(*m_asOf + kLateNews, started) : started;
+}
+
+void EstateCoordinator::chooseOperatorWait()
+{
+    m_operatorTimer.reset();
+    if (!reliesOnReader()) {
+        m_source.setOperatorWait(kShortWait);
+        return;
+    }
+    m_operatorTimer =
+            m_timers.after(newsLateAt() - m_clock.now(), [this] { chooseOperatorWait(); });
+    const bool known = m_source.operatorPosition() > 0;
+    m_source.setOperatorWait(known ? std::nullopt : std::optional(kLongWait));
 }
 
 void EstateCoordinator::targetsRead(const IntrusivePtr<const TargetList> &targets,
@@ -181,10 +201,18 @@
     schedule();
 }
 
-void EstateCoordinator::configurationRead()
+void EstateCoordinator::operatorRecordsRead()
 {
     if (m_role == Role::Reader)
         sendNews();
+    else
+        chooseOperatorWait();
+}
+
+bool EstateCoordinator::hasRecentOperatorRecords() const
+{
+    const auto readAt = m_source.operatorReadAt();
+    return readAt && m_clock.now() - *readAt <= kLateOperatorRead;
 }
 
 void EstateCoordinator::instancesChanged()
@@ -240,10 +268,11 @@
 void EstateCoordinator::sendNewsTo(LinkId link)
 {
     // Others may know better than a list with targets that are perhaps gone.
-    if (!m_asOf || !m_settled)
+    if (!m_asOf || !m_settled || !hasRecentOperatorRecords())
         return;
     Told &told = m_followers[link];
-    EstateNews news{ *m_asOf, m_source.configurationPosition(), {}, {} };
+    EstateNews news{ *m_asOf, m_source.operatorRecordsSince(told.operatorPosition), {}, {} };
+    told.operatorPosition = news.operatorRecords.position;
     if (const auto targets = m_blackboard.targets.read()) {
         news.targets = changeBetween(told.targets, targets->targets);
         told.targets = targets->targets;
@@ -252,7 +281,7 @@
         news.instances = changeBetween(told.instances, instances->instances);
         told.instances = instances->instances;
     }
-    m_links.send(link, encodeNews(news, m_clock.now()));
+    m_links.send(link, encodeNews(news, m_clock.now(), m_packer));
 }
 
 void EstateCoordinator::linkOpened(LinkId link, bool outbound, const Address &remote)
@@ -275,7 +304,7 @@
     const auto news = decodeNews(frame, m_clock.now());
     if (!news.ok())
         return news.status();
-    m_source.catchUpConfiguration(news->configurationPosition);
+    m_source.applyOperatorRecords(news->operatorRecords);
     applyChange(m_relayed.targets, news->targets);
     applyChange(m_relayed.instances, news->instances);
     // Older than what this instance read itself; the next news will be newer.
@@ -283,7 +312,7 @@
         return absl::OkStatus();
     m_asOf = news->asOf;
     m_failures = 0;
-    chooseConfigurationWait();
+    chooseOperatorWait();
     auto targets = makeRef<TargetList>();
     targets->targets = m_relayed.targets;
     publish(IntrusivePtr<const TargetList>(targets));
@@ -302,7 +331,7 @@
     m_readerLink.reset();
     m_relayed = Told();
     LOG4CPLUS_INFO(m_logger, "event=dependency_lost dependency=reader");
-    chooseConfigurationWait();
+    chooseOperatorWait();
     schedule();
 }
 
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -47,7 +47,7 @@
 
     void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
                      bool settled) override;
-    void configurationRead() override;
+    void operatorRecordsRead() override;
     void instancesChanged() override;
     void instancesRead(const IntrusivePtr<const InstanceList> &instances) override;
 
@@ -65,6 +65,7 @@
     /// What another instance was told last on its link.
     struct Told
     {
+        std::uint64_t operatorPosition = 0;
         std::vector<TargetRecord> targets;
         std::vector<GatewayInstance> instances;
     };
@@ -74,7 +75,10 @@
     void schedule();
     Duration readDelay() const;
     bool isRecent(Duration age) const;
-    void chooseConfigurationWait();
+    /// Chooses how the operator's records are read, now and when the reader's news would be late.
+    void chooseOperatorWait();
+    TimePoint newsLateAt() const;
+    bool hasRecentOperatorRecords() const;
     void publish(const IntrusivePtr<const TargetList> &targets);
     void publish(const IntrusivePtr<const InstanceList> &instances);
     void sendNews();
@@ -92,6 +96,7 @@
     Role m_role = Role::Unknown;
     std::string m_reader;
     std::map<LinkId, Told> m_followers;
+    RecordPacker m_packer;
     std::optional<LinkId> m_readerLink;
     /// What the reader told on its link.
     Told m_relayed;
@@ -105,6 +110,7 @@
     /// The instances changed while the reader's news were relied on.
     bool m_instancesMissed = false;
     TimerSubscription m_timer;
+    TimerSubscription m_operatorTimer;
     TimerSubscription m_waitTimer;
     TimerSubscription m_firstListTimer;
     std::vector<std::function<void()>> m_waiting;
--- a/src/gateway/relay/estatenews.cpp
+++ b/src/gateway/relay/estatenews.cpp
@@ -138,6 +138,50 @@
     return status;
 }
 
+absl::Status decodeRecord(const relaywire::OperatorRecord &record, OperatorRecords &records)
+{
+    if (!isName(record.key()))
+        return absl::InvalidArgumentError("record with a bad key");
+    KeyedRecord decoded{ record.key()->str(), std::nullopt, record.offset() };
+    if (const auto *bytes = record.value()) {
+        auto value = unpackValue({ reinterpret_cast<const char *>(bytes->data()), bytes->size() },
+                                 record.value_bytes());
+        if (!value.ok())
+            return value.status();
+        decoded.value = *std::move(value);
+    }
+    records.records.push_back(std::move(decoded));
+    return absl::OkStatus();
+}
+
+absl::Status decodeRecords(const relaywire::News &message, OperatorRecords &records)
+{
+    records.position = message.operator_position();
+    records.complete = message.operator_complete();
+    if (!message.operator_records())
+        return absl::OkStatus();
+    for (const relaywire::OperatorRecord *it : *message.operator_records()) {
+        absl::Status status = decodeRecord(*it, records);
+        if (!status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+std::unique_ptr<relaywire::OperatorRecordT> encodeRecord(const KeyedRecord &record,
+                                                         RecordPacker &packer)
+{
+    auto encoded = std::make_unique<relaywire::OperatorRecordT>();
+    encoded->key = record.key;
+    encoded->offset = record.offset;
+    if (record.value) {
+        const PackedValue &packed = packer.pack(record);
+        encoded->value.assign(packed.bytes.begin(), packed.bytes.end());
+        encoded->value_bytes = static_cast<std::uint32_t>(packed.inflatedBytes);
+    }
+    return encoded;
+}
+
 std::unique_ptr<relaywire::TargetT> encodeTarget(const TargetRecord &record, TimePoint now)
 {
     auto target = std::make_unique<relaywire::TargetT>();
@@ -177,11 +221,14 @@
     apply(list, change);
 }
 
-std::string encodeNews(const EstateNews &news, TimePoint now)
+std::string encodeNews(const EstateNews &news, TimePoint now, RecordPacker &packer)
 {
     relaywire::NewsT message;
     message.age_ms = roundedUpMs(now - news.asOf);
-    message.configuration_position = news.configurationPosition;
+    message.operator_position = news.operatorRecords.position;
+    message.operator_complete = news.operatorRecords.complete;
+    for (const KeyedRecord &it : news.operatorRecords.records)
+        message.operator_records.push_back(encodeRecord(it, packer));
     for (const TargetRecord &it : news.targets.put)
         message.targets.push_back(encodeTarget(it, now));
     message.removed_targets = news.targets.removed;
@@ -209,8 +256,9 @@
     const relaywire::News *message = relaywire::GetNews(bytes);
     EstateNews news;
     news.asOf = now - milliseconds(message->age_ms());
-    news.configurationPosition = message->configuration_position();
-    const absl::Status status = decodeLists(*message, now, news);
+    absl::Status status = decodeRecords(*message, news.operatorRecords);
+    if (status.ok())
+        status = decodeLists(*message, now, news);
     if (!status.ok())
         return status;
     return news;
--- a/src/gateway/relay/estatenews.h
+++ b/src/gateway/relay/estatenews.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/estateview.h"
+#include "gateway/relay/operatorrecords.h"
+#include "gateway/relay/recordpacker.h"
 
 #include <absl/status/statusor.h>
 
@@ -42,17 +44,17 @@
 {
     /// When the read began that this rests on, on the clock of the instance that holds the value.
     TimePoint asOf;
-    /// Position up to which the configuration was read.
-    std::uint64_t configurationPosition = 0;
-    /// Since the last news on the same link.
+    /// These and the lists below: since the last news on the same link.
+    OperatorRecords operatorRecords;
     TargetsChange targets;
     InstancesChange instances;
 
     auto operator<=>(const EstateNews &) const = default;
 };
 
-/// Encodes news for a frame. Ages are rounded up to milliseconds. Thread-safe.
-std::string encodeNews(const EstateNews &news, TimePoint now);
+/// Encodes news for a frame. Ages are rounded up to milliseconds. Thread-safe for different
+/// packers.
+std::string encodeNews(const EstateNews &news, TimePoint now, RecordPacker &packer);
 
 /// Decodes a frame; times are put on this instance's clock. Errors: InvalidArgument, naming the
 /// fault. Thread-safe.
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "gateway/estateview.h"
+#include "gateway/relay/operatorrecords.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace lycheebay {
 
@@ -17,8 +19,8 @@
     /// with the platform was lost shortly before.
     virtual void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
                              bool settled) = 0;
-    /// The configuration was read up to a further position.
-    virtual void configurationRead() = 0;
+    /// The operator's records were read up to a further position.
+    virtual void operatorRecordsRead() = 0;
     /// The platform's list of instances changed; readInstances() shows it.
     virtual void instancesChanged() = 0;
     /// A read of the instances ended well.
@@ -37,13 +39,18 @@
     virtual void readTargets() = 0;
     /// Reads the instances once.
     virtual void readInstances() = 0;
-    /// Sets how long one read of the configuration waits for a change. The source reads on by
-    /// itself; a shorter wait also ends a read that waits.
-    virtual void setConfigurationWait(Duration wait) = 0;
-    /// Position up to which the configuration was read.
-    virtual std::uint64_t configurationPosition() const = 0;
-    /// Reads the configuration at once if it was read to before \a position only.
-    virtual void catchUpConfiguration(std::uint64_t position) = 0;
+    /// Sets how long one read of the operator's records waits for a change. The source reads on by
+    /// itself; a shorter wait also ends a read that waits. Null: no more reads are made, since
+    /// applyOperatorRecords() brings what changes.
+    virtual void setOperatorWait(std::optional<Duration> wait) = 0;
+    /// When the operator's records were last read with success; null before the first time.
+    virtual std::optional<TimePoint> operatorReadAt() const = 0;
+    /// Offset after the last of the operator's records that is known; 0 before the first read.
+    virtual std::uint64_t operatorPosition() const = 0;
+    /// Returns the operator's records from offset \a since on.
+    virtual OperatorRecords operatorRecordsSince(std::uint64_t since) const = 0;
+    /// Takes records that another instance read.
+    virtual void applyOperatorRecords(const OperatorRecords &records) = 0;
 };
 
 } // namespace lycheebay
--- /dev/null
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -0,0 +1,52 @@
+#include "gateway/relay/operatorrecords.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lycheebay {
+
+std::vector<KeyedRecord> OperatorRecordTable::apply(const OperatorRecords &update)
+{
+    std::vector<KeyedRecord> changed;
+    std::set<std::string> present;
+    for (const KeyedRecord &it : update.records) {
+        present.insert(it.key);
+        if (put(it))
+            changed.push_back(it);
+    }
+    if (update.complete) {
+        for (auto &[key, record] : m_records) {
+            if (present.contains(key) || !record.value || record.offset >= update.position)
+                continue;
+            record.value.reset();
+            changed.push_back(record);
+        }
+    }
+    m_position = std::max(m_position, update.position);
+    return changed;
+}
+
+bool OperatorRecordTable::put(const KeyedRecord &record)
+{
+    const auto known = m_records.find(record.key);
+    if (known == m_records.end()) {
+        m_records.emplace(record.key, record);
+        return true;
+    }
+    if (record.offset <= known->second.offset)
+        return false;
+    known->second = record;
+    return true;
+}
+
+OperatorRecords OperatorRecordTable::recordsSince(std::uint64_t since) const
+{
+    OperatorRecords result{ m_position, since == 0, {} };
+    for (const auto &[key, record] : m_records) {
+        if (record.offset >= since)
+            result.records.push_back(record);
+    }
+    return result;
+}
+
+} // namespace lycheebay
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -21,7 +21,10 @@
     CPPUNIT_TEST(unsettledListIsNotPassedOn);
     CPPUNIT_TEST(idleInstanceReadsForARequest);
     CPPUNIT_TEST(requestsDoNotWaitWhileThePlatformIsAway);
-    CPPUNIT_TEST(missedConfigurationIsCaughtUp);
+    CPPUNIT_TEST(configurationComesWithTheNews);
+    CPPUNIT_TEST(readerWithoutConfigurationSendsNoNews);
+    CPPUNIT_TEST(idleFollowerOfASilentReaderReadsTheConfiguration);
+    CPPUNIT_TEST(oneOfTheLargestReads);
     CPPUNIT_TEST(newsFromAnyOtherLinkAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -30,16 +33,21 @@
         void start(IEstateSourceListener &it) override { listener = &it; }
         void readTargets() override { ++reads; }
         void readInstances() override { ++instanceReads; }
-        void setConfigurationWait(Duration it) override { wait = it; }
-        std::uint64_t configurationPosition() const override { return position; }
-        void catchUpConfiguration(std::uint64_t it) override { caughtUp = it; }
+        void setOperatorWait(std::optional<Duration> it) override { wait = it; }
+        std::optional<TimePoint> operatorReadAt() const override { return readAt; }
+        std::uint64_t operatorPosition() const override { return records.position(); }
+        OperatorRecords operatorRecordsSince(std::uint64_t since) const override
+        {
+            return records.recordsSince(since);
+        }
+        void applyOperatorRecords(const OperatorRecords &it) override { records.apply(it); }
 
         IEstateSourceListener *listener = nullptr;
         int reads = 0;
         int instanceReads = 0;
-        Duration wait{};
-        std::uint64_t position = 0;
-        std::uint64_t caughtUp = 0;
+        std::optional<Duration> wait = 0s;
+        std::optional<TimePoint> readAt;
+        OperatorRecordTable records;
     };
 
     struct Links final : public IPeerLinks
@@ -57,7 +65,8 @@
     struct Instance
     {
         Instance(LoopFixture &loop, IRandomSource &random, const std::string &id)
-            : coordinator(loop.timers, loop.clock, random, blackboard, source, links,
+            : clock(loop.clock)
+            , coordinator(loop.timers, loop.clock, random, blackboard, source, links,
                           { id, "r", { { "d1", "r" }, { "d2", "r" } }, 700 })
         {
             CPPUNIT_ASSERT(coordinator.start().ok());
@@ -71,6 +80,13 @@
             blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
         }
 
+        void readTargets(const std::string &id, bool settled = true)
+        {
+            source.readAt = clock.now();
+            coordinator.targetsRead(listOf(id), clock.now(), settled);
+        }
+
+        const IClock &clock;
         GatewayBlackboard blackboard;
         Source source;
         Links links;
@@ -81,6 +97,7 @@
 
     std::unique_ptr<LoopFixture> m_loop;
     SeededRandom m_random{ 1 };
+    RecordPacker m_packer;
     std::unique_ptr<Instance> m_reader;
     std::unique_ptr<Instance> m_follower;
 
@@ -110,6 +127,8 @@
         m_follower = std::move(firstReads ? b : a);
         m_reader->coordinator.linkOpened(kLink, false, {});
         m_follower->coordinator.linkOpened(kLink, true, {});
+        for (Instance *it : { m_reader.get(), m_follower.get() })
+            it->source.records.apply({ 1, true, { { "config", "first", 0 } } });
     }
 
     void passFrames()
@@ -138,12 +157,14 @@
     void newsSurviveTheWire()
     {
         const TimePoint now = m_loop->clock.now();
-        const EstateNews news{ now - 120ms,
-                               42,
-                               { listOf("t")->targets, { "old" } },
-                               { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } } };
+        const EstateNews news{
+            now - 120ms,
+            { 42, true, { { "config", std::string(5000, 'x'), 40 }, { "drain/d", {}, 41 } } },
+            { listOf("t")->targets, { "old" } },
+            { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } }
+        };
         const TimePoint later = now + 1h; // the other instance's clock
-        const auto decoded = decodeNews(encodeNews(news, now), later);
+        const auto decoded = decodeNews(encodeNews(news, now, m_packer), later);
         CPPUNIT_ASSERT(decoded.ok());
         EstateNews expected = news;
         expected.asOf = later - 120ms;
@@ -153,7 +174,8 @@
     void badFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
-        const std::string good = encodeNews({ now, 1, { listOf("t")->targets, {} }, {} }, now);
+        const std::string good =
+                encodeNews({ now, {}, { listOf("t")->targets, {} }, {} }, now, m_packer);
         CPPUNIT_ASSERT(!decodeNews("", now).ok());
         CPPUNIT_ASSERT(!decodeNews("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeNews(std::string_view(good).substr(0, good.size() / 2), now).ok());
@@ -182,7 +204,7 @@
     void formerReaderTellsItsFollowers()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        m_reader->readTargets("t");
         m_reader->links.sent.clear();
         auto others = makeRef<InstanceList>();
         for (int i = 1; i <= 40; ++i) {
@@ -201,7 +223,7 @@
     void leavingReaderHandsOver()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        m_reader->readTargets("t");
         passFrames();
         const int before = m_follower->source.reads;
         m_reader->coordinator.leave();
@@ -209,26 +231,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
                              m_follower->blackboard.instances.read()->instances.size());
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads > before; }));
-        CPPUNIT_ASSERT(m_follower->source.wait <= 1s);
+        CPPUNIT_ASSERT(m_follower->source.wait == 1s);
     }
 
     // Guards against every instance reading the platform, which has a price a call.
     void onlyTheReaderReadsWhileItsNewsCome()
     {
         makePair();
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        m_reader->readTargets("t");
         passFrames();
         CPPUNIT_ASSERT(*m_follower->blackboard.targets.read() == *listOf("t"));
         m_follower->coordinator.noteUse();
         const int before = m_follower->source.reads;
         for (int i = 0; i < 4; ++i) {
             runFor(500ms);
-            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+            m_reader->readTargets("t");
             passFrames();
         }
         CPPUNIT_ASSERT_EQUAL(before, m_follower->source.reads);
-        CPPUNIT_ASSERT(m_follower->source.wait > 10s);
-        CPPUNIT_ASSERT(m_reader->source.wait <= 1s);
+        CPPUNIT_ASSERT(!m_follower->source.wait);
+        CPPUNIT_ASSERT(m_reader->source.wait == 1s);
         CPPUNIT_ASSERT(m_reader->source.reads >= 1);
     }
 
@@ -240,7 +262,7 @@
         // An instance that has just started waits a little longer for its first news.
         for (int i = 0; i < 7; ++i) {
             runFor(500ms);
-            m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+            m_reader->readTargets("t");
             passFrames();
         }
         m_follower->coordinator.noteUse();
@@ -248,10 +270,9 @@
         const int before = m_follower->source.reads;
         CPPUNIT_ASSERT(m_loop->runUntil([&] {
             m_follower->coordinator.noteUse();
-            return m_follower->source.reads > before;
+            return m_follower->source.reads > before && m_follower->source.wait == 1s;
         }));
         CPPUNIT_ASSERT(m_loop->clock.now() - asOf < 1900ms);
-        CPPUNIT_ASSERT(m_follower->source.wait <= 1s);
     }
 
     // Guards against a reader that was cut from the platform and still lists targets which the
@@ -260,9 +281,9 @@
     {
         makePair();
         m_reader->links.sent.clear();
-        m_reader->coordinator.targetsRead(listOf("gone"), m_loop->clock.now(), false);
+        m_reader->readTargets("gone", false);
         CPPUNIT_ASSERT(m_reader->links.sent.empty());
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        m_reader->readTargets("t");
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
     }
 
@@ -291,21 +312,73 @@
         CPPUNIT_ASSERT(served);
     }
 
-    // Guards against a read that waits and is not told of a change.
-    void missedConfigurationIsCaughtUp()
+    // Guards against every instance reading a large configuration over the link between regions:
+    // it comes with the reader's news, and only once.
+    void configurationComesWithTheNews()
     {
         makePair();
-        m_reader->source.position = 9;
-        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        const std::string large(300'000, 'r');
+        m_reader->source.records.apply({ 9, false, { { "config", large, 8 } } });
+        m_reader->readTargets("t");
+        CPPUNIT_ASSERT(m_reader->links.sent.at(0).second.size() < large.size() / 10);
         passFrames();
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, m_follower->source.caughtUp);
+        const OperatorRecords known = m_follower->source.records.recordsSince(0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, known.position);
+        CPPUNIT_ASSERT(known.records.at(0).value == large);
+        m_reader->readTargets("t");
+        const auto next = decodeNews(m_reader->links.sent.at(0).second, m_loop->clock.now());
+        CPPUNIT_ASSERT(next.ok());
+        CPPUNIT_ASSERT(next->operatorRecords.records.empty());
+    }
+
+    // Guards against a reader that reads the targets but not the configuration, for instance since
+    // one of its connections went silent: the others must find that out in time.
+    void readerWithoutConfigurationSendsNoNews()
+    {
+        makePair();
+        m_reader->readTargets("t");
+        m_reader->links.sent.clear();
+        m_reader->source.readAt = m_loop->clock.now() - 1600ms;
+        m_reader->coordinator.targetsRead(listOf("t"), m_loop->clock.now(), true);
+        CPPUNIT_ASSERT(m_reader->links.sent.empty());
+    }
+
+    // Guards against a follower of a silent reader that asks for the configuration only when it
+    // next reads the targets, which an idle instance does after six seconds.
+    void idleFollowerOfASilentReaderReadsTheConfiguration()
+    {
+        makePair();
+        for (int i = 0; i < 5; ++i) {
+            runFor(500ms);
+            m_reader->readTargets("t");
+            passFrames();
+        }
+        CPPUNIT_ASSERT(!m_follower->source.wait);
+        const TimePoint asOf = m_loop->clock.now();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.wait.has_value(); }));
+        CPPUNIT_ASSERT(m_loop->clock.now() - asOf < 1900ms);
+    }
+
+    // Guards against a small instance that needs seconds to send a configuration to all others.
+    void oneOfTheLargestReads()
+    {
+        Instance small(*m_loop, m_random, "10.0.0.1:80");
+        auto list = makeRef<InstanceList>();
+        for (int i = 1; i <= 40; ++i) {
+            const std::string id = "10.0.0." + std::to_string(i) + ":80";
+            list->instances.push_back({ id, { id, 80 }, "d1", i > 38 ? 5.0 : 1.0 });
+        }
+        small.blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, small.links.desired.size());
+        const std::string &host = small.links.desired[0].host;
+        CPPUNIT_ASSERT(host == "10.0.0.39:80" || host == "10.0.0.40:80");
     }
 
     void newsFromAnyOtherLinkAreRejected()
     {
         makePair();
         const std::string frame =
-                encodeNews({ m_loop->clock.now(), 1, {}, {} }, m_loop->clock.now());
+                encodeNews({ m_loop->clock.now(), {}, {}, {} }, m_loop->clock.now(), m_packer);
         CPPUNIT_ASSERT(!m_follower->coordinator.frameReceived(kLink + 1, frame).ok());
     }
 };
--- /dev/null
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -0,0 +1,124 @@
+#include "gateway/relay/operatorrecords.h"
+#include "base/seededrandom.h"
+#include "gateway/relay/recordpacker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lycheebay {
+
+class OperatorRecordsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OperatorRecordsTest);
+    CPPUNIT_TEST(olderRecordsChangeNothing);
+    CPPUNIT_TEST(completeRecordsDropWhatIsMissing);
+    CPPUNIT_TEST(relayedAndReadRecordsConverge);
+    CPPUNIT_TEST(valuesArePackedAndUnpacked);
+    CPPUNIT_TEST(badPackedValuesAreRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::map<std::string, std::string> valuesOf(const OperatorRecordTable &table)
+    {
+        std::map<std::string, std::string> values;
+        for (const KeyedRecord &it : table.recordsSince(0).records) {
+            if (it.value)
+                values[it.key] = *it.value;
+        }
+        return values;
+    }
+
+public:
+    // Guards against a configuration that reverts because a slow read ends after the news.
+    void olderRecordsChangeNothing()
+    {
+        OperatorRecordTable table;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             table.apply({ 8, false, { { "a", "2", 7 } } }).size());
+        CPPUNIT_ASSERT(table.apply({ 6, false, { { "a", "1", 5 } } }).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 8 }, table.position());
+        CPPUNIT_ASSERT(table.recordsSince(8).records.empty());
+    }
+
+    // Guards against a drain that stays in force at an instance which missed its end, and against
+    // one that is forgotten because an older list lacks it.
+    void completeRecordsDropWhatIsMissing()
+    {
+        OperatorRecordTable table;
+        table.apply({ 4, true, { { "a", "1", 2 }, { "b", "1", 3 } } });
+        table.apply({ 10, false, { { "c", "1", 9 } } });
+        const auto changed = table.apply({ 8, true, { { "b", "1", 3 } } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
+        CPPUNIT_ASSERT(!changed[0].value);
+        const std::map<std::string, std::string> expected{ { "b", "1" }, { "c", "1" } };
+        CPPUNIT_ASSERT(expected == valuesOf(table));
+    }
+
+    // Plays a log that two instances read in pieces while one tells the other what it knows.
+    void relayedAndReadRecordsConverge()
+    {
+        SeededRandom random(11);
+        for (int round = 0; round < 200; ++round) {
+            std::vector<KeyedRecord> log;
+            OperatorRecordTable reader;
+            OperatorRecordTable follower;
+            std::uint64_t told = 0;
+            for (int step = 0; step < 40; ++step) {
+                const std::string key = "k" + std::to_string(random.below(4));
+                std::optional<std::string> value;
+                if (random.below(3) > 0)
+                    value = std::to_string(step);
+                log.push_back({ key, value, log.size() });
+                if (random.below(2) == 0) {
+                    const auto from = static_cast<std::ptrdiff_t>(reader.position());
+                    reader.apply({ log.size(), false, { log.begin() + from, log.end() } });
+                }
+                if (random.below(4) == 0) {
+                    const auto from = static_cast<std::ptrdiff_t>(follower.position());
+                    follower.apply({ log.size(), false, { log.begin() + from, log.end() } });
+                }
+                if (random.below(8) == 0)
+                    told = 0; // a new link
+                if (random.below(2) == 0) {
+                    follower.apply(reader.recordsSince(told));
+                    told = reader.position();
+                }
+            }
+            const auto from = static_cast<std::ptrdiff_t>(reader.position());
+            reader.apply({ log.size(), false, { log.begin() + from, log.end() } });
+            follower.apply(reader.recordsSince(told));
+            CPPUNIT_ASSERT(valuesOf(reader) == valuesOf(follower));
+            CPPUNIT_ASSERT_EQUAL(reader.position(), follower.position());
+        }
+    }
+
+    void valuesArePackedAndUnpacked()
+    {
+        RecordPacker packer;
+        std::string large;
+        for (int i = 0; i < 1400; ++i)
+            large +=
+                    R"({"name":"r-)" + std::to_string(i) + R"(","kind":"safe","timeout":"2500ms"})";
+        for (const std::string &value : { std::string(), std::string("short"), large }) {
+            const PackedValue packed = packer.pack({ "a", value, value.size() });
+            const auto unpacked = unpackValue(packed.bytes, packed.inflatedBytes);
+            CPPUNIT_ASSERT(unpacked.ok());
+            CPPUNIT_ASSERT(*unpacked == value);
+        }
+        CPPUNIT_ASSERT(packer.pack({ "a", large, large.size() }).bytes.size() < large.size() / 5);
+    }
+
+    void badPackedValuesAreRejected()
+    {
+        RecordPacker packer;
+        const std::string large(4000, 'a');
+        const PackedValue packed = packer.pack({ "a", large, 1 });
+        CPPUNIT_ASSERT(!unpackValue("not zlib", 100).ok());
+        CPPUNIT_ASSERT(!unpackValue(packed.bytes, large.size() - 1).ok());
+        CPPUNIT_ASSERT(!unpackValue(packed.bytes, large.size() + 1).ok());
+        CPPUNIT_ASSERT(!unpackValue(packed.bytes, std::size_t{ 1 } << 40U).ok());
+        CPPUNIT_ASSERT(!unpackValue(packed.bytes.substr(0, 10), large.size()).ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorRecordsTest);
+
+} // namespace lycheebay
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -148,6 +148,7 @@
             end(TransferResult::Lost);
         return;
     }
+    m_lastReadAt = m_clock.now();
     std::string_view bytes(m_buffer.data(), n);
     while (!bytes.empty() && isBusy()) {
         bytes.remove_prefix(m_parser.feed(bytes));
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -59,6 +59,8 @@
     bool isOpen() const { return !m_closed; }
     bool isConnected() const { return m_connected; }
     bool isBusy() const { return static_cast<bool>(m_done); }
+    /// When the last bytes came; the epoch before the first ones.
+    TimePoint lastReadAt() const { return m_lastReadAt; }
     /// True if an idle connection may carry a further request: it was used less than \a maxIdle
     /// ago, and less than what the server told.
     bool isReusable(TimePoint now, Duration maxIdle) const;
@@ -84,6 +86,7 @@
     Filter m_filter;
     Done m_done;
     TimePoint m_idleSince;
+    TimePoint m_lastReadAt;
     Duration m_serverIdleLimit = Duration::max();
     bool m_connected = false;
     bool m_reading = false;
