Follow a substitute when the reader is lost, and back off failed reads

Change: a follower whose link to the reader closes follows the next in rank for 5 s, and also one whose news are late although it can read the platform itself; an instance reads as long as others follow it. Pauses after failed reads double to 1.6 s. The periods follow from the platform's bounds (drain_timeout, config_apply). When the whole system starts, only the readers read. Tests: six in estatecoordinatortest, written with the change.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -12,25 +12,23 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A target that drains must get no request two seconds after the platform accepted its word. The
-// reader's period, the delay of the news and the time to notice a silent reader stay within that.
-constexpr Duration kReadPeriod = milliseconds(1000);
-constexpr Duration kLateNews = milliseconds(1500);
 // Period of an instance without news that serves no requests.
 constexpr Duration kIdleReadPeriod = seconds(6);
 // An instance that served no request for this long counts as idle.
 constexpr Duration kIdleAfter = seconds(3);
-// Pause after a failed read, spread by half either way.
-constexpr Duration kRetryPause = milliseconds(300);
+// Pauses after failed reads, doubled each time, spread by half either way: all instances fail
+// together when the platform does, and each call has a price. An instance counts as in touch with
+// the platform 3 s after its return.
+constexpr Duration kFirstRetryPause = milliseconds(300);
+constexpr Duration kLongestRetryPause = milliseconds(1600);
+constexpr int kMostDoublings = 3;
 // A request does not wait longer than this for a read; the last known list serves then.
 constexpr Duration kLongestRequestWait = milliseconds(250);
-// Waits of one read of the operator's records: short where a missed change must be found in time,
-// long before there is a first one.
-constexpr Duration kShortWait = milliseconds(1000);
+// Wait of one read of the operator's records before there is a first one.
 constexpr Duration kLongWait = seconds(28);
-// A reader that did not read the operator's records for this long sends no news, so that the
-// others read by themselves: a short wait, and the time that its answer takes.
-constexpr Duration kLateOperatorRead = milliseconds(1500);
+// An instance whose link broke or whose news were late is not followed for this long; the list of
+// instances shows by then whether it is gone.
+constexpr Duration kSuspectTime = seconds(5);
 
 // Time that an instance needs after its start to find the reader and hear from it.
 constexpr Duration kStartTime = seconds(2);
@@ -56,7 +54,7 @@
     , m_logger(componentLogger("estate"))
 {
     m_blackboard.instances.subscribe(
-            [this](const IntrusivePtr<const InstanceList> &it) { chooseReader(*it); });
+            [this](const IntrusivePtr<const InstanceList> &) { chooseReader(); });
 }
 
 absl::Status EstateCoordinator::start()
@@ -65,10 +63,14 @@
     if (!status.ok())
         return status;
     m_startedAt = m_clock.now();
+    m_readerSince = m_startedAt;
+    m_lastReadAt = m_startedAt;
     m_source.start(*this);
     chooseOperatorWait();
-    m_lastReadAt = m_startedAt;
-    m_source.readTargets();
+    if (m_settings.wholeSystemStarts)
+        schedule();
+    else
+        m_source.readTargets();
     return absl::OkStatus();
 }
 
@@ -85,39 +87,72 @@
     instancesRead(IntrusivePtr<const InstanceList>(others));
 }
 
-void EstateCoordinator::chooseReader(const InstanceList &instances)
+std::optional<GatewayInstance> EstateCoordinator::bestReader() const
 {
-    InstanceList region;
-    for (const GatewayInstance &it : instances.instances) {
-        const auto known = m_settings.regions.find(it.failureDomain);
-        if (known != m_settings.regions.end() && known->second == m_settings.region)
-            region.instances.push_back(it);
-    }
+    const auto instances = m_blackboard.instances.read();
+    if (!instances)
+        return std::nullopt;
+    InstanceList candidates;
     // One of the largest, since a reader sends every change to the whole region; a small instance
     // needs seconds to send a large configuration to all others.
     double largest = 0;
-    for (const GatewayInstance &it : region.instances)
+    for (const GatewayInstance &it : instances->instances) {
+        const auto region = m_settings.regions.find(it.failureDomain);
+        const bool isHere =
+                region != m_settings.regions.end() && region->second == m_settings.region;
+        if (!isHere || m_suspects.contains(it.id))
+            continue;
+        candidates.instances.push_back(it);
+        // Ranked as if they were in one failure domain: one reader serves the whole region.
+        candidates.instances.back().failureDomain.clear();
         largest = std::max(largest, it.weight);
-    std::erase_if(region.instances, [&](const auto &it) { return it.weight < largest; });
-    // Ranked as if they were in one failure domain: one reader serves the whole region.
-    for (GatewayInstance &it : region.instances)
-        it.failureDomain.clear();
-    const auto readers = rankedInstances(region, kReaderGroup, "", 1);
-    const std::string reader = readers.empty() ? m_settings.instanceId : readers.front().id;
+    }
+    std::erase_if(candidates.instances, [&](const auto &it) { return it.weight < largest; });
+    const auto ranked = rankedInstances(candidates, kReaderGroup, "", 1);
+    return ranked.empty() ? std::nullopt : std::optional(ranked.front());
+}
+
+void EstateCoordinator::chooseReader()
+{
+    std::erase_if(m_suspects, [&](const auto &it) { return it.second <= m_clock.now(); });
+    const auto best = bestReader();
+    const std::string reader = best ? best->id : m_settings.instanceId;
     if (reader == m_reader)
         return;
     m_reader = reader;
+    m_readerSince = m_clock.now();
     m_role = reader == m_settings.instanceId ? Role::Reader : Role::Follower;
     LOG4CPLUS_INFO(m_logger,
                    "event=reader_chosen reader=" << reader << " self=" << (m_role == Role::Reader));
+    // What the link before told does not count any more, nor does its end.
+    m_readerLink.reset();
+    m_relayed = Told();
     if (m_role == Role::Reader)
         m_links.setDesired({});
     else
-        m_links.setDesired({ { readers.front().address.host, m_settings.relayPort } });
+        m_links.setDesired({ { best->address.host, m_settings.relayPort } });
     chooseOperatorWait();
     schedule();
 }
 
+void EstateCoordinator::suspectReader(const char *reason)
+{
+    LOG4CPLUS_INFO(m_logger, "event=dependency_lost dependency=reader reader="
+                                     << m_reader << " reason=" << reason);
+    m_suspects[m_reader] = m_clock.now() + kSuspectTime;
+    m_suspectTimer = m_timers.after(kSuspectTime, [this] { chooseReader(); });
+    chooseReader();
+}
+
+void EstateCoordinator::suspectSilentReader()
+{
+    if (m_role != Role::Follower || !m_settled)
+        return;
+    const TimePoint heard = std::max(m_newsAsOf.value_or(m_readerSince), m_readerSince);
+    if (m_clock.now() - heard >= lateNews())
+        suspectReader("late_news");
+}
+
 bool EstateCoordinator::isRecent(Duration age) const
 {
     return m_asOf && m_clock.now() - *m_asOf <= age;
@@ -130,14 +165,18 @@
         return Duration::zero();
     const TimePoint last = *m_lastReadAt;
     if (m_failures > 0) {
+        const int doublings = std::min(m_failures - 1, kMostDoublings);
+        const Duration pause = std::min(kFirstRetryPause * (1 << doublings), kLongestRetryPause);
         const double spread = 0.5 + m_random.uniform();
-        return last + fromSeconds(toSeconds(kRetryPause) * spread) - now;
+        return last + fromSeconds(toSeconds(pause) * spread) - now;
     }
-    if (m_role == Role::Reader)
-        return last + kReadPeriod - now;
+    if (readsForOthers())
+        return last + readPeriod() - now;
+    // The first read after the news are late tells whether the platform can be read here.
+    if (last < newsLateAt())
+        return newsLateAt() - now;
     const bool inUse = m_lastUseAt && now - *m_lastUseAt < kIdleAfter;
-    const TimePoint next = last + (inUse ? kReadPeriod : kIdleReadPeriod);
-    return std::max(std::max(newsLateAt(), now), next) - now;
+    return last + (inUse ? readPeriod() : kIdleReadPeriod) - now;
 }
 
 void EstateCoordinator::schedule()
@@ -159,28 +198,26 @@
 
 bool EstateCoordinator::reliesOnReader() const
 {
-    if (m_role == Role::Reader)
-        return false;
-    return m_clock.now() < newsLateAt();
+    return !readsForOthers() && m_clock.now() < newsLateAt();
 }
 
 TimePoint EstateCoordinator::newsLateAt() const
 {
     const TimePoint started = m_startedAt + kStartTime;
-    return m_asOf ? std::max(*m_asOf + kLateNews, started) : started;
+    return m_newsAsOf ? std::max(*m_newsAsOf + lateNews(), started) : started;
 }
 
 void EstateCoordinator::chooseOperatorWait()
 {
     m_operatorTimer.reset();
     if (!reliesOnReader()) {
-        m_source.setOperatorWait(kShortWait);
+        m_source.setOperatorWait(readPeriod());
         return;
     }
     m_operatorTimer =
             m_timers.after(newsLateAt() - m_clock.now(), [this] { chooseOperatorWait(); });
-    const bool known = m_source.operatorPosition() > 0;
-    m_source.setOperatorWait(known ? std::nullopt : std::optional(kLongWait));
+    const bool isTold = m_settings.wholeSystemStarts || m_source.operatorPosition() > 0;
+    m_source.setOperatorWait(isTold ? std::nullopt : std::optional(kLongWait));
 }
 
 void EstateCoordinator::targetsRead(const IntrusivePtr<const TargetList> &targets,
@@ -192,8 +229,9 @@
         m_failures = 0;
         m_asOf = std::max(m_asOf.value_or(startedAt), startedAt);
         publish(targets);
-        if (m_role == Role::Reader)
+        if (readsForOthers())
             sendNews();
+        suspectSilentReader();
     } else {
         ++m_failures;
     }
@@ -203,7 +241,7 @@
 
 void EstateCoordinator::operatorRecordsRead()
 {
-    if (m_role == Role::Reader)
+    if (readsForOthers())
         sendNews();
     else
         chooseOperatorWait();
@@ -212,12 +250,12 @@
 bool EstateCoordinator::hasRecentOperatorRecords() const
 {
     const auto readAt = m_source.operatorReadAt();
-    return readAt && m_clock.now() - *readAt <= kLateOperatorRead;
+    return readAt && m_clock.now() - *readAt <= lateNews();
 }
 
 void EstateCoordinator::instancesChanged()
 {
-    if (m_role == Role::Unknown) {
+    if (m_role == Role::Unknown && m_settings.wholeSystemStarts) {
         // Instances that start together are all listed a little later.
         const Duration delay = m_startedAt + kFirstListDelay - m_clock.now();
         m_firstListTimer = m_timers.after(std::max(delay, Duration::zero()),
@@ -232,10 +270,8 @@
 void EstateCoordinator::instancesRead(const IntrusivePtr<const InstanceList> &instances)
 {
     // An instance that stops being the reader tells its followers too, so that they find the next.
-    const bool wasReader = m_role == Role::Reader;
     publish(instances);
-    if (wasReader || m_role == Role::Reader)
-        sendNews();
+    sendNews();
 }
 
 void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
@@ -292,9 +328,13 @@
                        "event=dependency_regained dependency=reader address=" << remote.toString());
         return;
     }
+    const bool read = readsForOthers();
     m_followers[link] = Told();
-    if (m_role == Role::Reader)
-        sendNewsTo(link);
+    if (!read) {
+        chooseOperatorWait();
+        m_source.readTargets();
+    }
+    sendNewsTo(link);
 }
 
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
@@ -311,6 +351,7 @@
     if (m_asOf && news->asOf < *m_asOf)
         return absl::OkStatus();
     m_asOf = news->asOf;
+    m_newsAsOf = news->asOf;
     m_failures = 0;
     chooseOperatorWait();
     auto targets = makeRef<TargetList>();
@@ -325,20 +366,20 @@
 
 void EstateCoordinator::linkClosed(LinkId link)
 {
-    m_followers.erase(link);
+    if (m_followers.erase(link) > 0 && !readsForOthers()) {
+        chooseOperatorWait();
+        schedule();
+    }
     if (m_readerLink != link)
         return;
     m_readerLink.reset();
-    m_relayed = Told();
-    LOG4CPLUS_INFO(m_logger, "event=dependency_lost dependency=reader");
-    chooseOperatorWait();
-    schedule();
+    suspectReader("link_closed");
 }
 
 void EstateCoordinator::whenRecent(std::function<void()> done)
 {
     // While the platform is away, the last known list is all there is.
-    if (isRecent(kLateNews) || m_failures > 0) {
+    if (isRecent(lateNews()) || m_failures > 0) {
         done();
         return;
     }
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -18,7 +18,10 @@
 
 /// Keeps the view of the estate recent at a low price: one instance a region, chosen by rendezvous
 /// hashing, reads the platform and passes the news on; the others read by themselves only when its
-/// news are late. Whether this instance reads is decided here; how it reads is the source's matter.
+/// news are late. A follower that loses its reader follows the next one in rank, and an instance
+/// reads as long as others follow it, so that a reader that dies is replaced before the list of
+/// instances shows it. Whether this instance reads is decided here; how it reads is the source's
+/// matter.
 /// Not thread-safe: use it, and call its link callbacks, on the event loop.
 class EstateCoordinator final : public IEstateSourceListener,
                                 public IPeerLinkListener,
@@ -32,6 +35,10 @@
         DomainRegions regions;
         /// Port on which every instance takes links.
         std::uint16_t relayPort = 0;
+        /// Time within which a change must be in force at every instance.
+        Duration changeBound = std::chrono::seconds(2);
+        /// All instances start now, and no caller is served before they know each other.
+        bool wholeSystemStarts = false;
     };
 
     /// Precondition: all references outlive the coordinator.
@@ -70,10 +77,20 @@
         std::vector<GatewayInstance> instances;
     };
 
-    void chooseReader(const InstanceList &instances);
+    void chooseReader();
+    /// Returns the instance that should read for this region, or null if none is known.
+    std::optional<GatewayInstance> bestReader() const;
+    void follow(const GatewayInstance &reader);
+    /// Follows the next reader in rank for some time.
+    void suspectReader(const char *reason);
+    void suspectSilentReader();
+    /// True if this instance reads the platform for others.
+    bool readsForOthers() const { return m_role == Role::Reader || !m_followers.empty(); }
     bool reliesOnReader() const;
     void schedule();
     Duration readDelay() const;
+    Duration readPeriod() const { return m_settings.changeBound / 2; }
+    Duration lateNews() const { return m_settings.changeBound * 3 / 4; }
     bool isRecent(Duration age) const;
     /// Chooses how the operator's records are read, now and when the reader's news would be late.
     void chooseOperatorWait();
@@ -95,6 +112,9 @@
     const log4cplus::Logger m_logger;
     Role m_role = Role::Unknown;
     std::string m_reader;
+    TimePoint m_readerSince;
+    /// Instances that are not followed until then.
+    std::map<std::string, TimePoint> m_suspects;
     std::map<LinkId, Told> m_followers;
     RecordPacker m_packer;
     std::optional<LinkId> m_readerLink;
@@ -102,6 +122,8 @@
     Told m_relayed;
     TimePoint m_startedAt;
     std::optional<TimePoint> m_asOf;
+    /// As of when the last news were.
+    std::optional<TimePoint> m_newsAsOf;
     std::optional<TimePoint> m_lastReadAt;
     std::optional<TimePoint> m_lastUseAt;
     int m_failures = 0;
@@ -113,6 +135,7 @@
     TimerSubscription m_operatorTimer;
     TimerSubscription m_waitTimer;
     TimerSubscription m_firstListTimer;
+    TimerSubscription m_suspectTimer;
     std::vector<std::function<void()>> m_waiting;
 };
 
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -25,6 +25,12 @@
     CPPUNIT_TEST(readerWithoutConfigurationSendsNoNews);
     CPPUNIT_TEST(idleFollowerOfASilentReaderReadsTheConfiguration);
     CPPUNIT_TEST(oneOfTheLargestReads);
+    CPPUNIT_TEST(lostReaderIsReplacedAtOnce);
+    CPPUNIT_TEST(silentReaderIsReplacedIfThePlatformAnswers);
+    CPPUNIT_TEST(nobodyIsReplacedWhileThePlatformIsAway);
+    CPPUNIT_TEST(instanceReadsForItsFollowers);
+    CPPUNIT_TEST(failedReadsBackOff);
+    CPPUNIT_TEST(nobodyButTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(newsFromAnyOtherLinkAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -64,10 +70,11 @@
 
     struct Instance
     {
-        Instance(LoopFixture &loop, IRandomSource &random, const std::string &id)
+        Instance(LoopFixture &loop, IRandomSource &random, const std::string &id,
+                 bool wholeSystemStarts = false)
             : clock(loop.clock)
             , coordinator(loop.timers, loop.clock, random, blackboard, source, links,
-                          { id, "r", { { "d1", "r" }, { "d2", "r" } }, 700 })
+                          { id, "r", { { "d1", "r" }, { "d2", "r" } }, 700, 2s, wholeSystemStarts })
         {
             CPPUNIT_ASSERT(coordinator.start().ok());
         }
@@ -115,6 +122,17 @@
         return IntrusivePtr<const TargetList>(list);
     }
 
+    /// Lists two large instances, one of which is to read, among small ones.
+    static void publishLargeOnes(Instance &instance)
+    {
+        auto list = makeRef<InstanceList>();
+        for (int i = 1; i <= 40; ++i) {
+            const std::string id = "10.0.0." + std::to_string(i) + ":80";
+            list->instances.push_back({ id, { id, 80 }, "d1", i > 38 ? 5.0 : 1.0 });
+        }
+        instance.blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
+    }
+
     /// Two instances, one of which turns out to be the reader.
     void makePair()
     {
@@ -363,17 +381,101 @@
     void oneOfTheLargestReads()
     {
         Instance small(*m_loop, m_random, "10.0.0.1:80");
-        auto list = makeRef<InstanceList>();
-        for (int i = 1; i <= 40; ++i) {
-            const std::string id = "10.0.0." + std::to_string(i) + ":80";
-            list->instances.push_back({ id, { id, 80 }, "d1", i > 38 ? 5.0 : 1.0 });
-        }
-        small.blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
+        publishLargeOnes(small);
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, small.links.desired.size());
         const std::string &host = small.links.desired[0].host;
         CPPUNIT_ASSERT(host == "10.0.0.39:80" || host == "10.0.0.40:80");
     }
 
+    // Guards against all followers of a reader that died reading by themselves until the list of
+    // instances shows it, some five seconds later.
+    void lostReaderIsReplacedAtOnce()
+    {
+        Instance follower(*m_loop, m_random, "10.0.0.1:80");
+        publishLargeOnes(follower);
+        const std::string first = follower.links.desired.at(0).host;
+        follower.coordinator.linkOpened(kLink, true, {});
+        follower.coordinator.linkClosed(kLink);
+        const std::string second = follower.links.desired.at(0).host;
+        CPPUNIT_ASSERT(first != second);
+        // It is followed again once it had time to come back.
+        CPPUNIT_ASSERT(
+                m_loop->runUntil([&] { return follower.links.desired.at(0).host == first; }));
+    }
+
+    void silentReaderIsReplacedIfThePlatformAnswers()
+    {
+        Instance follower(*m_loop, m_random, "10.0.0.1:80");
+        publishLargeOnes(follower);
+        const std::string first = follower.links.desired.at(0).host;
+        const int before = follower.source.reads;
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return follower.source.reads > before; }));
+        follower.readTargets("t");
+        CPPUNIT_ASSERT(first != follower.links.desired.at(0).host);
+    }
+
+    // Guards against followers that change their reader again and again in an outage, which leaves
+    // them with many readers after it.
+    void nobodyIsReplacedWhileThePlatformIsAway()
+    {
+        Instance follower(*m_loop, m_random, "10.0.0.1:80");
+        publishLargeOnes(follower);
+        const std::string first = follower.links.desired.at(0).host;
+        runFor(2500ms);
+        follower.coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
+        follower.readTargets("t", false);
+        CPPUNIT_ASSERT_EQUAL(first, follower.links.desired.at(0).host);
+    }
+
+    void instanceReadsForItsFollowers()
+    {
+        makePair();
+        m_follower->links.sent.clear();
+        const int before = m_follower->source.reads;
+        m_follower->coordinator.linkOpened(kLink + 1, false, {});
+        CPPUNIT_ASSERT_EQUAL(before + 1, m_follower->source.reads);
+        CPPUNIT_ASSERT(m_follower->source.wait == 1s);
+        m_follower->readTargets("t");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_follower->links.sent.size());
+        CPPUNIT_ASSERT_EQUAL(kLink + 1, m_follower->links.sent[0].first);
+        m_follower->coordinator.linkClosed(kLink + 1);
+        CPPUNIT_ASSERT(!m_follower->source.wait);
+    }
+
+    // Guards against all instances calling a platform that is away several times a second.
+    void failedReadsBackOff()
+    {
+        Instance alone(*m_loop, m_random, "10.0.0.9:80");
+        alone.coordinator.noteUse();
+        const int before = alone.source.reads;
+        const TimePoint end = m_loop->clock.now() + 6s;
+        int known = before;
+        alone.coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
+        m_loop->runUntil([&] {
+            if (alone.source.reads > known) {
+                known = alone.source.reads;
+                alone.coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
+            }
+            return m_loop->clock.now() >= end;
+        });
+        // Pauses of 0.3, 0.6, 1.2, 1.6, 1.6 s, each half as long at the least.
+        CPPUNIT_ASSERT(known - before >= 3);
+        CPPUNIT_ASSERT(known - before <= 9);
+    }
+
+    // Guards against every instance reading everything when all of them start, though no caller is
+    // served yet; they still read by themselves when no news come.
+    void nobodyButTheReaderReadsWhenTheWholeSystemStarts()
+    {
+        Instance one(*m_loop, m_random, "10.0.0.9:80", true);
+        CPPUNIT_ASSERT_EQUAL(0, one.source.reads);
+        CPPUNIT_ASSERT(!one.source.wait);
+        const TimePoint start = m_loop->clock.now();
+        CPPUNIT_ASSERT(
+                m_loop->runUntil([&] { return one.source.reads > 0 && one.source.wait == 1s; }));
+        CPPUNIT_ASSERT(m_loop->clock.now() - start < 2500ms);
+    }
+
     void newsFromAnyOtherLinkAreRejected()
     {
         makePair();
