Let followers adopt the targets, and restarted instances find their reader at once

A restarted instance did not look for its reader for two seconds, since it counted on news of a reader that it did not know. Change: news carry the position in the list of targets, and followers adopt both, so that their own reads go on from there. Instances without a reader read the list of instances at once; a restarted one reads the targets only for a request.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -64,13 +64,10 @@
         return status;
     m_startedAt = m_clock.now();
     m_readerSince = m_startedAt;
-    m_lastReadAt = m_startedAt;
     m_source.start(*this);
     chooseOperatorWait();
-    if (m_settings.wholeSystemStarts)
-        schedule();
-    else
-        m_source.readTargets();
+    // The reader's news bring the targets; a request that comes before them has them read at once.
+    schedule();
     return absl::OkStatus();
 }
 
@@ -161,22 +158,19 @@
 Duration EstateCoordinator::readDelay() const
 {
     const TimePoint now = m_clock.now();
-    if (!m_lastReadAt)
-        return Duration::zero();
-    const TimePoint last = *m_lastReadAt;
     if (m_failures > 0) {
         const int doublings = std::min(m_failures - 1, kMostDoublings);
         const Duration pause = std::min(kFirstRetryPause * (1 << doublings), kLongestRetryPause);
         const double spread = 0.5 + m_random.uniform();
-        return last + fromSeconds(toSeconds(pause) * spread) - now;
+        return m_lastReadAt.value_or(now) + fromSeconds(toSeconds(pause) * spread) - now;
     }
     if (readsForOthers())
-        return last + readPeriod() - now;
+        return m_lastReadAt ? *m_lastReadAt + readPeriod() - now : Duration::zero();
     // The first read after the news are late tells whether the platform can be read here.
-    if (last < newsLateAt())
+    if (!m_lastReadAt || *m_lastReadAt < newsLateAt())
         return newsLateAt() - now;
     const bool inUse = m_lastUseAt && now - *m_lastUseAt < kIdleAfter;
-    return last + (inUse ? readPeriod() : kIdleReadPeriod) - now;
+    return *m_lastReadAt + (inUse ? readPeriod() : kIdleReadPeriod) - now;
 }
 
 void EstateCoordinator::schedule()
@@ -255,9 +249,11 @@
 
 void EstateCoordinator::instancesChanged()
 {
-    if (m_role == Role::Unknown && m_settings.wholeSystemStarts) {
+    if (m_role == Role::Unknown) {
         // Instances that start together are all listed a little later.
-        const Duration delay = m_startedAt + kFirstListDelay - m_clock.now();
+        const TimePoint at =
+                m_settings.wholeSystemStarts ? m_startedAt + kFirstListDelay : m_clock.now();
+        const Duration delay = at - m_clock.now();
         m_firstListTimer = m_timers.after(std::max(delay, Duration::zero()),
                                           [this] { m_source.readInstances(); });
         return;
@@ -307,7 +303,10 @@
     if (!m_asOf || !m_settled || !hasRecentOperatorRecords())
         return;
     Told &told = m_followers[link];
-    EstateNews news{ *m_asOf, m_source.operatorRecordsSince(told.operatorPosition), {}, {} };
+    EstateNews news;
+    news.asOf = *m_asOf;
+    news.operatorRecords = m_source.operatorRecordsSince(told.operatorPosition);
+    news.targetsPosition = m_source.targetsPosition();
     told.operatorPosition = news.operatorRecords.position;
     if (const auto targets = m_blackboard.targets.read()) {
         news.targets = changeBetween(told.targets, targets->targets);
@@ -356,6 +355,7 @@
     chooseOperatorWait();
     auto targets = makeRef<TargetList>();
     targets->targets = m_relayed.targets;
+    m_source.adoptTargets(*targets, news->targetsPosition);
     publish(IntrusivePtr<const TargetList>(targets));
     auto instances = makeRef<InstanceList>();
     instances->instances = m_relayed.instances;
--- a/src/gateway/relay/estatenews.cpp
+++ b/src/gateway/relay/estatenews.cpp
@@ -231,6 +231,7 @@
         message.operator_records.push_back(encodeRecord(it, packer));
     for (const TargetRecord &it : news.targets.put)
         message.targets.push_back(encodeTarget(it, now));
+    message.targets_position = news.targetsPosition;
     message.removed_targets = news.targets.removed;
     for (const GatewayInstance &it : news.instances.put) {
         auto instance = std::make_unique<relaywire::InstanceT>();
@@ -256,6 +257,7 @@
     const relaywire::News *message = relaywire::GetNews(bytes);
     EstateNews news;
     news.asOf = now - milliseconds(message->age_ms());
+    news.targetsPosition = message->targets_position();
     absl::Status status = decodeRecords(*message, news.operatorRecords);
     if (status.ok())
         status = decodeLists(*message, now, news);
--- a/src/gateway/relay/estatenews.h
+++ b/src/gateway/relay/estatenews.h
@@ -46,6 +46,8 @@
     TimePoint asOf;
     /// These and the lists below: since the last news on the same link.
     OperatorRecords operatorRecords;
+    /// Position up to which the platform's list of targets was read.
+    std::uint64_t targetsPosition = 0;
     TargetsChange targets;
     InstancesChange instances;
 
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -37,6 +37,11 @@
     virtual void start(IEstateSourceListener &listener) = 0;
     /// Reads the targets once; does nothing while such a read runs.
     virtual void readTargets() = 0;
+    /// Position up to which the targets were read.
+    virtual std::uint64_t targetsPosition() const = 0;
+    /// Takes a list that another instance read up to \a position, so that the next read goes on
+    /// from there.
+    virtual void adoptTargets(const TargetList &targets, std::uint64_t position) = 0;
     /// Reads the instances once.
     virtual void readInstances() = 0;
     /// Sets how long one read of the operator's records waits for a change. The source reads on by
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(nobodyIsReplacedWhileThePlatformIsAway);
     CPPUNIT_TEST(instanceReadsForItsFollowers);
     CPPUNIT_TEST(failedReadsBackOff);
+    CPPUNIT_TEST(restartedInstanceLooksForItsReaderAtOnce);
     CPPUNIT_TEST(nobodyButTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(newsFromAnyOtherLinkAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -38,6 +39,12 @@
     {
         void start(IEstateSourceListener &it) override { listener = &it; }
         void readTargets() override { ++reads; }
+        std::uint64_t targetsPosition() const override { return position; }
+        void adoptTargets(const TargetList &it, std::uint64_t to) override
+        {
+            adopted = it.targets;
+            position = to;
+        }
         void readInstances() override { ++instanceReads; }
         void setOperatorWait(std::optional<Duration> it) override { wait = it; }
         std::optional<TimePoint> operatorReadAt() const override { return readAt; }
@@ -51,6 +58,8 @@
         IEstateSourceListener *listener = nullptr;
         int reads = 0;
         int instanceReads = 0;
+        std::uint64_t position = 0;
+        std::vector<TargetRecord> adopted;
         std::optional<Duration> wait = 0s;
         std::optional<TimePoint> readAt;
         OperatorRecordTable records;
@@ -178,6 +187,7 @@
         const EstateNews news{
             now - 120ms,
             { 42, true, { { "config", std::string(5000, 'x'), 40 }, { "drain/d", {}, 41 } } },
+            77,
             { listOf("t")->targets, { "old" } },
             { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } }
         };
@@ -193,7 +203,7 @@
     {
         const TimePoint now = m_loop->clock.now();
         const std::string good =
-                encodeNews({ now, {}, { listOf("t")->targets, {} }, {} }, now, m_packer);
+                encodeNews({ now, {}, 0, { listOf("t")->targets, {} }, {} }, now, m_packer);
         CPPUNIT_ASSERT(!decodeNews("", now).ok());
         CPPUNIT_ASSERT(!decodeNews("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeNews(std::string_view(good).substr(0, good.size() / 2), now).ok());
@@ -256,9 +266,12 @@
     void onlyTheReaderReadsWhileItsNewsCome()
     {
         makePair();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_reader->source.reads == 1; }));
+        CPPUNIT_ASSERT_EQUAL(0, m_follower->source.reads);
         m_reader->readTargets("t");
         passFrames();
         CPPUNIT_ASSERT(*m_follower->blackboard.targets.read() == *listOf("t"));
+        CPPUNIT_ASSERT(m_follower->source.adopted == listOf("t")->targets);
         m_follower->coordinator.noteUse();
         const int before = m_follower->source.reads;
         for (int i = 0; i < 4; ++i) {
@@ -269,7 +282,6 @@
         CPPUNIT_ASSERT_EQUAL(before, m_follower->source.reads);
         CPPUNIT_ASSERT(!m_follower->source.wait);
         CPPUNIT_ASSERT(m_reader->source.wait == 1s);
-        CPPUNIT_ASSERT(m_reader->source.reads >= 1);
     }
 
     // Guards against an instance that trusts a reader which fell silent: a target that drains must
@@ -442,6 +454,17 @@
         CPPUNIT_ASSERT(!m_follower->source.wait);
     }
 
+    // Guards against restarted instances that all read by themselves for two seconds.
+    void restartedInstanceLooksForItsReaderAtOnce()
+    {
+        Instance one(*m_loop, m_random, "10.0.0.9:80");
+        const TimePoint start = m_loop->clock.now();
+        one.coordinator.instancesChanged();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return one.source.instanceReads == 1; }));
+        CPPUNIT_ASSERT(m_loop->clock.now() - start < 500ms);
+        CPPUNIT_ASSERT_EQUAL(0, one.source.reads);
+    }
+
     // Guards against all instances calling a platform that is away several times a second.
     void failedReadsBackOff()
     {
@@ -480,7 +503,7 @@
     {
         makePair();
         const std::string frame =
-                encodeNews({ m_loop->clock.now(), {}, {}, {} }, m_loop->clock.now(), m_packer);
+                encodeNews({ m_loop->clock.now(), {}, 0, {}, {} }, m_loop->clock.now(), m_packer);
         CPPUNIT_ASSERT(!m_follower->coordinator.frameReceived(kLink + 1, frame).ok());
     }
 };
