--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -20,7 +20,10 @@
     , m_request(std::move(request))
 {}
 
-HttpExchange::~HttpExchange() = default;
+HttpExchange::~HttpExchange()
+{
+    m_session->exchangeEnded(*this);
+}
 
 void HttpExchange::respond(const HttpResponse &response, bool closes)
 {
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -15,7 +15,8 @@
 
 class HttpSession;
 
-/// One request of a caller, waiting for its response. Not thread-safe: use it on its event loop.
+/// One request of a caller, waiting for its response. If its last reference goes without one, the
+/// connection ends, so that the caller does not wait. Not thread-safe: use it on its event loop.
 class HttpExchange final : public RefCounted
 {
 public:
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -49,6 +49,14 @@
     m_socket.close(ec);
 }
 
+void HttpSession::exchangeEnded(const HttpExchange &exchange)
+{
+    if (m_exchange != &exchange)
+        return;
+    close();
+    m_exchange = nullptr;
+}
+
 void HttpSession::closeIfExpired(TimePoint now)
 {
     if (m_exchange || m_writing)
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -17,6 +17,8 @@
     void start();
     void respond(const HttpExchange &exchange, const HttpResponse &response, bool closes);
     void close();
+    /// Ends the connection if the exchange was not answered.
+    void exchangeEnded(const HttpExchange &exchange);
     /// Ends the connection if it is idle, or its request incomplete, for too long.
     void closeIfExpired(TimePoint now);
 
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(responseOfAnotherRequestIsDropped);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(droppedRequestEndsItsConnection);
     CPPUNIT_TEST(badRequestsGetAnErrorAndTheListenerLives);
     CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +68,24 @@
 public:
     void tearDown() override { m_listener.reset(); }
 
+    // Guards against a session that keeps a pointer to a request which its handler gave up without
+    // a response, and calls it when the caller leaves.
+    void droppedRequestEndsItsConnection()
+    {
+        IntrusivePtr<HttpExchange> kept;
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) { kept = it; });
+        const Connection connection = connect(address);
+        std::optional<TransferResult> result;
+        connection->send(get("/"), false, nullptr,
+                         [&](TransferResult it, const HttpResponse &) { result = it; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return kept.get() != nullptr; }));
+        kept = nullptr;
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(*result == TransferResult::Lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_listener->pendingCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_listener->connectionCount());
+    }
+
     // Guards against two reads at a time into one buffer, which spoiled large answers.
     void exchangesFollowEachOtherFromTheCallback()
     {
--- a/tools/relay/relaysession.cpp
+++ b/tools/relay/relaysession.cpp
@@ -93,12 +93,12 @@
 void RelaySession::write(Direction direction)
 {
     Pump &pump = m_pumps[direction];
-    if (pump.isWriting || pump.queue.empty() || !m_isOpen || m_group.cut == Cut::Stall)
+    if (pump.isWriting || pump.queue.empty() || !m_isOpen || m_group.holds(direction))
         return;
     pump.isWriting = true;
     pump.timer.expires_at(pump.queue.front().due);
     pump.timer.async_wait([self = shared_from_this(), direction, &pump](asio::error_code) {
-        if (!self->m_isOpen || self->m_group.cut == Cut::Stall) {
+        if (!self->m_isOpen || self->m_group.holds(direction)) {
             pump.isWriting = false;
             return;
         }
--- a/tools/relay/relaysession.h
+++ b/tools/relay/relaysession.h
@@ -19,7 +19,9 @@
     /// Connections are closed, and new ones are closed at once.
     Drop,
     /// Bytes are held back until the cut ends.
-    Stall
+    Stall,
+    /// As Stall, but only what clients send.
+    StallForward
 };
 
 enum Direction { Forward, Backward, DirectionCount };
@@ -34,6 +36,10 @@
     /// Bandwidth in each direction; 0 is unlimited.
     double bytesPerSecond = 0;
     Cut cut = Cut::None;
+    bool holds(Direction direction) const
+    {
+        return cut == Cut::Stall || (cut == Cut::StallForward && direction == Forward);
+    }
     std::array<std::uint64_t, DirectionCount> bytes{};
     /// When the bytes accepted so far have left, at the bandwidth.
     std::array<Time, DirectionCount> freeAt{};
