Ask only two targets of other dispatchers for their load

Requests also reach instances that own no targets, and each of them made its instance connect to all free targets of the domain. Change: such an instance asks two, chosen at random.

--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -18,6 +18,10 @@
 constexpr Duration kReadingLife = milliseconds(300);
 // A target with this slowdown or less is taken without looking at others.
 constexpr double kNearlyUnslowed = 1.1;
+// Targets of other dispatchers that are asked for their load at a time. They are used for single
+// requests, and each question needs a new connection. Those that an instance owns are all asked:
+// asking only four of them made one request in forty late on the heaviest days.
+constexpr std::size_t kMostAskedOthers = 2;
 // A cold target works about this much slower than a warm one.
 constexpr double kColdSlowdown = 2;
 // While requests wait for a faster target, the free but slow ones are asked again at this interval.
@@ -175,25 +179,28 @@
 bool ServicePool::askForLoad(const std::vector<TargetState *> &targets, const Ticket &ticket,
                              TimePoint now, PoolDecisions &decisions)
 {
-    bool fastOneKnown = false;
-    bool asked = false;
+    std::vector<TargetState *> unasked;
+    std::size_t asked = 0;
     for (TargetState *it : targets) {
-        const bool fresh = isFresh(*it, now);
-        fastOneKnown = fastOneKnown || (fresh && slowdownOf(*it, now) <= kNearlyUnslowed);
-    }
-    if (fastOneKnown)
-        return false;
-    for (TargetState *it : targets) {
-        if (isFresh(*it, now))
+        if (isFresh(*it, now)) {
+            if (slowdownOf(*it, now) <= kNearlyUnslowed)
+                return false;
             continue;
-        const bool inFlight = it->probeSentAt && now - *it->probeSentAt < kProbeInFlightLimit;
-        if (!inFlight) {
-            it->probeSentAt = now;
-            decisions.probes.push_back(it->target.record);
         }
-        asked = true;
+        if (it->probeSentAt && now - *it->probeSentAt < kProbeInFlightLimit)
+            ++asked;
+        else
+            unasked.push_back(it);
+    }
+    const bool owned = !targets.empty() && targets.front()->target.proximity == Proximity::Owned;
+    const std::size_t most = owned ? targets.size() : kMostAskedOthers;
+    for (; asked < most && !unasked.empty(); ++asked) {
+        std::swap(unasked[m_random.below(unasked.size())], unasked.back());
+        unasked.back()->probeSentAt = now;
+        decisions.probes.push_back(unasked.back()->target.record);
+        unasked.pop_back();
     }
-    return asked && now - ticket.arrival < m_settings.probeWait;
+    return asked > 0 && now - ticket.arrival < m_settings.probeWait;
 }
 
 ServicePool::Choice ServicePool::fastest(const std::vector<TargetState *> &targets,
--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -15,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(ServicePoolTest);
     CPPUNIT_TEST(asksForLoadAndTakesTheUnslowedTarget);
+    CPPUNIT_TEST(asksOnlySomeTargetsOfOthers);
     CPPUNIT_TEST(waitsForAFasterTargetAndThenTakesAny);
     CPPUNIT_TEST(leavesTheLastSlotFree);
     CPPUNIT_TEST(leavingDrainedAndTriedTargetsGetNothing);
@@ -112,6 +113,26 @@
         CPPUNIT_ASSERT(placed(m_pool->decide(m_clock.now())) == std::vector<std::string>{ "b" });
     }
 
+    // Guards against one request that makes an instance connect to all targets of others.
+    void asksOnlySomeTargetsOfOthers()
+    {
+        for (const auto &[proximity, most] :
+             { std::pair(Proximity::Owned, 30UL), std::pair(Proximity::SameDomain, 2UL) }) {
+            std::vector<PoolTarget> targets;
+            for (int i = 0; i < 30; ++i)
+                targets.push_back(target("t" + std::to_string(i), proximity));
+            setUp();
+            use(targets);
+            readLoads({});
+            m_clock.advance(100ms); // the readings are stale
+            CPPUNIT_ASSERT_EQUAL(most, submit().probes.size());
+            // Those who come meanwhile share the answers.
+            CPPUNIT_ASSERT(submit().probes.empty());
+            m_clock.advance(20ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, m_pool->decide(m_clock.now()).placements.size());
+        }
+    }
+
     // Guards against a request that is sent at once to a target too slow for its objective, and
     // against one that waits for better until nothing serves it.
     void waitsForAFasterTargetAndThenTakesAny()
