--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -20,6 +20,7 @@
 // together when the platform does, and each call has a price. An instance counts as in touch with
 // the platform 3 s after its return.
 constexpr Duration kFirstRetryPause = milliseconds(300);
+constexpr Duration kFirstReaderPause = milliseconds(80);
 constexpr Duration kLongestRetryPause = milliseconds(1600);
 constexpr int kMostDoublings = 3;
 // A request does not wait longer than this for a read; the last known list serves then.
@@ -160,7 +161,8 @@
     const TimePoint now = m_clock.now();
     if (m_failures > 0) {
         const int doublings = std::min(m_failures - 1, kMostDoublings);
-        const Duration pause = std::min(kFirstRetryPause * (1 << doublings), kLongestRetryPause);
+        const Duration first = readsForOthers() ? kFirstReaderPause : kFirstRetryPause;
+        const Duration pause = std::min(first * (1 << doublings), kLongestRetryPause);
         const double spread = 0.5 + m_random.uniform();
         return m_lastReadAt.value_or(now) + fromSeconds(toSeconds(pause) * spread) - now;
     }
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -89,7 +89,8 @@
     bool reliesOnReader() const;
     void schedule();
     Duration readDelay() const;
-    Duration readPeriod() const { return m_settings.changeBound / 2; }
+    /// A reader reads more often, so that its news are in time also after one lost read.
+    Duration readPeriod() const { return m_settings.changeBound / (readsForOthers() ? 3 : 2); }
     Duration lateNews() const { return m_settings.changeBound * 3 / 4; }
     bool isRecent(Duration age) const;
     /// Chooses how the operator's records are read, now and when the reader's news would be late.
