--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/proxiedrequest.h"
 #include "gateway/routetable.h"
 #include "http/httpserialization.h"
+#include "http/httpstatus.h"
 
 #include <fmt/format.h>
 
@@ -12,10 +13,6 @@
 
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 // Retry-After of an instance that has no configuration yet or leaves, in seconds.
 constexpr char kShortRetryAfter[] = "0.2";
 // An instance that just started may not see the others yet, and must not take cold targets on top
@@ -101,21 +98,21 @@
     const CallerTerms terms = m_context.protocol.readCallerTerms(request);
     const auto configuration = m_blackboard.configuration.read();
     if (!configuration) {
-        refuse(*exchange, kUnavailable, "no_configuration", terms);
+        refuse(*exchange, httpstatus::kUnavailable, "no_configuration", terms);
         return;
     }
     const std::string *host = findHeader(request.headers, "Host");
     if (!host || countHeader(request.headers, "Host") != 1) {
-        refuse(*exchange, kBadRequest, "no_host", terms);
+        refuse(*exchange, httpstatus::kBadRequest, "no_host", terms);
         return;
     }
     const Route *route = findRoute(*configuration, normalizedHost(*host), request.path());
     if (!route) {
-        refuse(*exchange, kNotFound, "no_route", terms);
+        refuse(*exchange, httpstatus::kNotFound, "no_route", terms);
         return;
     }
     if (m_leaving && !m_leaving->mayAccept(m_context.clock.now(), route->timeout)) {
-        refuse(*exchange, kUnavailable, "leaving", terms);
+        refuse(*exchange, httpstatus::kUnavailable, "leaving", terms);
         return;
     }
     const RoutePart &part = chooseRoutePart(*route, m_context.random);
@@ -139,7 +136,7 @@
 {
     HttpResponse response =
             jsonResponse(status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
-    if (status == kUnavailable)
+    if (status == httpstatus::kUnavailable)
         response.headers.push_back({ "Retry-After", kShortRetryAfter });
     LogFields fields("refused");
     const auto configuration = m_blackboard.configuration.read();
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/seconds.h"
 #include "http/httpserialization.h"
+#include "http/httpstatus.h"
 
 #include <fmt/format.h>
 
@@ -14,14 +15,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kOk = 200;
-constexpr int kFirstError = 400;
-constexpr int kBadRequest = 400;
-constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // An idempotent request whose answer takes this multiple of what was expected is also sent to a
 // second target. Lower values fill slots that other requests need.
 constexpr int kPatienceFactor = 3;
@@ -191,14 +184,15 @@
                                     const TargetSignals &signals)
 {
     const Duration elapsed = elapsedSince(attempt->sentAt);
-    const bool success = response.status >= kOk && response.status < kFirstError;
+    const bool success =
+            response.status >= httpstatus::kOk && response.status < httpstatus::kFirstError;
     if (success && !signals.sealed) {
         // A success that the target did not seal is not its answer.
         finishAttempt(attempt, AttemptVerdict::Failed, std::nullopt);
         handleFailure("unsealed_answer");
         return;
     }
-    if (response.status < kFirstServerError) {
+    if (response.status < httpstatus::kFirstServerError) {
         finishAttempt(attempt, AttemptVerdict::Served, elapsed, signals);
         deliver(std::move(response));
         return;
@@ -217,7 +211,7 @@
                   std::nullopt, signals);
     if (isPending() || tryAgain(signals.wrongTarget ? "wrong_target" : "shed"))
         return;
-    if (response.status == kBadRequest)
+    if (response.status == httpstatus::kBadRequest)
         deliver(std::move(response));
     else
         refuse("target_refused", kRefusalRetryAfter);
@@ -228,7 +222,7 @@
     m_runState = RunState::MayHaveRun;
     if (isIdempotent() && (isPending() || tryAgain(what)))
         return;
-    fail(kBadGateway, what);
+    fail(httpstatus::kBadGateway, what);
 }
 
 void ProxiedRequest::patienceEnded(const AttemptPtr &attempt)
@@ -280,7 +274,7 @@
     if (m_runState == RunState::NotRun)
         refuse("deadline", kRefusalRetryAfter);
     else
-        fail(kGatewayTimeout, "deadline");
+        fail(httpstatus::kGatewayTimeout, "deadline");
 }
 
 void ProxiedRequest::callerGone()
@@ -334,18 +328,19 @@
 void ProxiedRequest::deliver(HttpResponse response)
 {
     response.headers = endToEndHeaders(response.headers);
-    const bool success = response.status < kFirstError;
+    const bool success = response.status < httpstatus::kFirstError;
     answer(response, success ? "served" : "target_error");
 }
 
 void ProxiedRequest::refuse(const char *reason, Duration retryAfter)
 {
     if (m_runState == RunState::MayHaveRun) {
-        fail(kGatewayTimeout, reason);
+        fail(httpstatus::kGatewayTimeout, reason);
         return;
     }
-    HttpResponse response = jsonResponse(
-            kUnavailable, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
+    HttpResponse response =
+            jsonResponse(httpstatus::kUnavailable,
+                         fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", toSeconds(retryAfter)) });
     LogFields fields = logFields("refused");
     fields.add("reason", reason).addMs("retry_after_ms", retryAfter);
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -355,17 +355,30 @@
     m_newsAsOf = news->asOf;
     m_failures = 0;
     chooseOperatorWait();
-    auto targets = makeRef<TargetList>();
-    targets->targets = m_relayed.targets;
-    m_source.adoptTargets(*targets, news->targetsPosition);
-    publish(IntrusivePtr<const TargetList>(targets));
-    auto instances = makeRef<InstanceList>();
-    instances->instances = m_relayed.instances;
-    publish(IntrusivePtr<const InstanceList>(instances));
+    publishRelayed(news->targetsPosition);
     releaseWaiting();
     return absl::OkStatus();
 }
 
+void EstateCoordinator::publishRelayed(std::uint64_t targetsPosition)
+{
+    // Most news change nothing, and the lists are not copied then.
+    auto targets = m_blackboard.targets.read();
+    if (!targets || targets->targets != m_relayed.targets) {
+        auto list = makeRef<TargetList>();
+        list->targets = m_relayed.targets;
+        targets = IntrusivePtr<const TargetList>(list);
+    }
+    m_source.adoptTargets(*targets, targetsPosition);
+    publish(targets);
+    const auto instances = m_blackboard.instances.read();
+    if (instances && instances->instances == m_relayed.instances)
+        return;
+    auto list = makeRef<InstanceList>();
+    list->instances = m_relayed.instances;
+    publish(IntrusivePtr<const InstanceList>(list));
+}
+
 void EstateCoordinator::linkClosed(LinkId link)
 {
     if (m_followers.erase(link) > 0 && !readsForOthers()) {
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -99,6 +99,8 @@
     bool hasRecentOperatorRecords() const;
     void publish(const IntrusivePtr<const TargetList> &targets);
     void publish(const IntrusivePtr<const InstanceList> &instances);
+    /// Publishes what the reader told; the list of targets was read up to \a targetsPosition.
+    void publishRelayed(std::uint64_t targetsPosition);
     void sendNews();
     void sendNewsTo(LinkId link);
     void releaseWaiting();
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/httpsession.h"
 
 #include "http/httpserialization.h"
+#include "http/httpstatus.h"
 
 #include <asio/write.hpp>
 
@@ -12,9 +13,6 @@
 constexpr std::size_t kReadAheadBytes = 64UL << 10U;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int kBadRequest = 400;
-constexpr int kBodyTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
 
 } // namespace
 
@@ -127,11 +125,11 @@
 
 void HttpSession::reject(HttpMessageParser::State state)
 {
-    int status = kBadRequest;
+    int status = httpstatus::kBadRequest;
     if (state == HttpMessageParser::State::BodyTooLarge)
-        status = kBodyTooLarge;
+        status = httpstatus::kContentTooLarge;
     if (state == HttpMessageParser::State::HeadTooLarge)
-        status = kHeadTooLarge;
+        status = httpstatus::kHeadTooLarge;
     write(serializeResponse(HttpResponse{ status, {}, {} }, HttpRequest{}, true), true);
 }
 
