Bound responses that come without end

Interim responses, responses that the filter drops and extensions of small chunks counted against no limit, and a body up to 64 MiB was held in memory. Change: the parser counts all bytes beside the body, bounds them by twice the head limit and by 8 bytes for each byte of a chunked body, and rejects a length above the body limit at once. A client connection accepts 2 MiB of body and drops at most four responses to earlier requests. A malformed response counts as a failed attempt as before.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -12,6 +12,12 @@
 
 namespace {
 
+// Bounds of a response. Bodies are held in memory, so that one server that sends bytes without end
+// must not take a large share of the memory of a small instance.
+constexpr HttpMessageLimits kResponseLimits{ 64UL << 10U, 2UL << 20U };
+// Responses to earlier requests that are dropped while one is awaited.
+constexpr int kMaxDroppedResponses = 4;
+
 void setIntOption(asio::ip::tcp::socket &socket, int level, int name, int value)
 {
     // Best effort: a kernel without the option only detects a silent connection later.
@@ -46,11 +52,13 @@
     , m_clock(clock)
     , m_address(address)
     , m_timeouts(timeouts)
+    , m_parser(HttpMessageParser::Kind::Response, kResponseLimits)
 {}
 
 void HttpClientConnection::send(std::string bytes, bool isHead, Filter filter, Done done)
 {
     m_parser.restart(isHead);
+    m_droppedResponses = 0;
     m_output = std::move(bytes);
     m_filter = std::move(filter);
     m_done = std::move(done);
@@ -175,6 +183,10 @@
     HttpResponse response = m_parser.takeResponse();
     if (m_filter && !m_filter(response)) {
         // A late second answer to an earlier request. The right one may follow.
+        if (++m_droppedResponses > kMaxDroppedResponses) {
+            end(TransferResult::Malformed);
+            return;
+        }
         m_closed = false;
         m_serverIdleLimit = Duration::zero();
         m_parser.restart();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -19,7 +19,7 @@
     Answered,  ///< a complete response was read
     NotSent,   ///< no byte of the request can have reached the peer
     Lost,      ///< the connection ended before a complete response; the peer may have acted
-    Malformed, ///< the peer sent bytes that are no response; it may have acted
+    Malformed, ///< the peer sent bytes that are no response, or too many; it may have acted
 };
 
 /// Time bounds of a client connection.
@@ -80,7 +80,7 @@
     const Address m_address;
     const ClientConnectionTimeouts m_timeouts;
     TimerSubscription m_connectTimer;
-    HttpMessageParser m_parser{ HttpMessageParser::Kind::Response };
+    HttpMessageParser m_parser;
     std::array<char, 16384> m_buffer{};
     std::string m_output;
     Filter m_filter;
@@ -88,6 +88,7 @@
     TimePoint m_idleSince;
     TimePoint m_lastReadAt;
     Duration m_serverIdleLimit = Duration::max();
+    int m_droppedResponses = 0;
     bool m_connected = false;
     bool m_reading = false;
     bool m_writing = false;
--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -1,6 +1,7 @@
 #include "http/httpmessageparser.h"
 
 #include <algorithm>
+#include <climits>
 
 namespace lycheebay {
 
@@ -9,6 +10,9 @@
 constexpr int kContinue = 0;
 constexpr int kStop = 1;
 constexpr int kSkipBody = 1;
+constexpr int kError = -1;
+// Framing that is accepted for each byte of a chunked body; a chunk of one byte takes six.
+constexpr std::size_t kFramingPerBodyByte = 8;
 
 } // namespace
 
@@ -49,6 +53,11 @@
     {
         HttpMessageParser &it = self(parser);
         it.m_headComplete = true;
+        const bool hasLength = parser->content_length != ULLONG_MAX;
+        if (hasLength && !it.m_bodyless && parser->content_length > it.m_limits.bodyBytes) {
+            it.m_state = HttpMessageParser::State::BodyTooLarge;
+            return kError;
+        }
         if (it.m_kind == HttpMessageParser::Kind::Request) {
             it.m_request.method = http_method_str(static_cast<http_method>(parser->method));
             return kContinue;
@@ -121,6 +130,7 @@
     m_bodyless = bodyless;
     m_inHeaderValue = false;
     m_headBytes = 0;
+    m_framingBytes = 0;
     m_request = HttpRequest();
     m_response = HttpResponse();
 }
@@ -130,6 +140,7 @@
     if (bytes.empty())
         return 0;
     m_started = true;
+    const std::size_t bodyBytes = body().size();
     const std::size_t n = http_parser_execute(&m_parser, &HttpParserCallbacks::settings(),
                                               bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
@@ -139,7 +150,9 @@
         m_state = State::HeadTooLarge;
     if (m_state == State::Incomplete && error != HPE_OK)
         m_state = State::Malformed;
-    return std::min(n, bytes.size());
+    const std::size_t consumed = std::min(n, bytes.size());
+    countFramingBytes(consumed, bodyBytes);
+    return consumed;
 }
 
 void HttpMessageParser::finish()
@@ -159,6 +172,14 @@
     return m_kind == Kind::Request ? m_request.body : m_response.body;
 }
 
+void HttpMessageParser::countFramingBytes(std::size_t consumed, std::size_t bodyBytes)
+{
+    m_framingBytes += consumed - std::min(consumed, body().size() - bodyBytes);
+    if (m_state == State::Incomplete
+        && m_framingBytes > 2 * m_limits.headBytes + kFramingPerBodyByte * body().size())
+        m_state = State::HeadTooLarge;
+}
+
 bool HttpMessageParser::countHeadBytes(std::size_t n)
 {
     m_headBytes += n;
--- a/src/http/httpmessageparser.h
+++ b/src/http/httpmessageparser.h
@@ -12,6 +12,9 @@
 /// Bounds of one HTTP message, in bytes.
 struct HttpMessageLimits
 {
+    /// Bound for the target, the names and the values of header fields, including trailers. Twice as
+    /// many bytes may come beside the body altogether: interim responses, separators and the
+    /// framing of chunks, for which more is allowed in proportion to the body.
     std::size_t headBytes = 64UL << 10U;
     std::size_t bodyBytes = 64UL << 20U;
 
@@ -61,6 +64,8 @@
     HttpHeaders &headers();
     std::string &body();
     bool countHeadBytes(std::size_t n);
+    /// Counts the bytes consumed since \a bodyBytes of the body were known.
+    void countFramingBytes(std::size_t consumed, std::size_t bodyBytes);
 
     const Kind m_kind;
     const HttpMessageLimits m_limits;
@@ -72,6 +77,7 @@
     bool m_bodyless = false;
     bool m_inHeaderValue = false;
     std::size_t m_headBytes = 0;
+    std::size_t m_framingBytes = 0;
     HttpRequest m_request;
     HttpResponse m_response;
 };
