Let no instance rely on old operator records after an outage

An update of the reader was as old as its read of the targets, although its operator records could be 3/4 of the bound older, so that a follower relied on records up to 1.5 bounds old. And an instance that was in contact again waited for the end of a back-off of up to 2.4 s before it read them. Change: an update is as old as the oldest of its parts; readers poll the operator's records twice in each read period. The first call that succeeds after a failed one repeats failed reads at once.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -183,15 +183,20 @@
             scheduleRead();
             return;
         }
-        m_lastReadAt = m_clock.now();
-        m_source.readTargets();
-        if (m_instanceReadSkipped && !reliesOnReader()) {
-            m_instanceReadSkipped = false;
-            m_source.readInstances();
-        }
+        readNow();
     });
 }
 
+void EstateCoordinator::readNow()
+{
+    m_lastReadAt = m_clock.now();
+    m_source.readTargets();
+    if (m_instanceReadSkipped && !reliesOnReader()) {
+        m_instanceReadSkipped = false;
+        m_source.readInstances();
+    }
+}
+
 bool EstateCoordinator::reliesOnReader() const
 {
     return !readsForOthers() && m_clock.now() < updateDeadline();
@@ -207,7 +212,7 @@
 {
     m_operatorPollTimer.reset();
     if (!reliesOnReader()) {
-        m_source.setOperatorPollTimeout(readPeriod());
+        m_source.setOperatorPollTimeout(operatorPollTimeout());
         return;
     }
     m_operatorPollTimer = m_timers.after(updateDeadline() - m_clock.now(),
@@ -274,6 +279,12 @@
     sendUpdates();
 }
 
+void EstateCoordinator::platformRegained()
+{
+    if (m_failures > 0)
+        readNow();
+}
+
 void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
 {
     const auto current = m_blackboard.instances.read();
@@ -308,7 +319,8 @@
         return;
     SyncedState &sent = m_followers[link];
     EstateUpdate update;
-    update.asOf = *m_asOf;
+    // Followers rely on the update for the targets and the operator's records alike.
+    update.asOf = std::min(*m_asOf, *m_source.operatorRecordsReadAt());
     update.operatorRecords = m_source.operatorRecordsSince(sent.operatorRecordsPosition);
     update.targetsPosition = m_source.targetsPosition();
     sent.operatorRecordsPosition = update.operatorRecords.position;
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -62,6 +62,7 @@
     void operatorRecordsRead() override;
     void instancesChanged() override;
     void instancesRead(const IntrusivePtr<const InstanceList> &instances) override;
+    void platformRegained() override;
 
     void linkOpened(LinkId link, bool outbound, const Address &remote) override;
     absl::Status frameReceived(LinkId link, std::string_view frame) override;
@@ -96,12 +97,18 @@
     /// time.
     bool reliesOnReader() const;
     void scheduleRead();
+    void readNow();
     Duration readDelay() const;
     /// Readers read more often, so that their updates are still in time after one lost read.
     Duration readPeriod() const
     {
         return m_settings.maxPropagationDelay / (readsForOthers() ? 3 : 2);
     }
+    /// Readers poll twice in each read period, since an update is as old as the operator's records.
+    Duration operatorPollTimeout() const
+    {
+        return readsForOthers() ? readPeriod() / 2 : readPeriod();
+    }
     /// Age from which the last update counts as late.
     Duration updateTimeout() const { return m_settings.maxPropagationDelay * 3 / 4; }
     bool isRecent(Duration maxAge) const;
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -25,6 +25,8 @@
     virtual void instancesChanged() = 0;
     /// Called when a read of the instances has succeeded.
     virtual void instancesRead(const IntrusivePtr<const InstanceList> &instances) = 0;
+    /// Called when the platform answers again after a call that failed.
+    virtual void platformRegained() = 0;
 };
 
 /// Reads the state of the estate from the platform. Not thread-safe: use it on the event loop.
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(requestsDoNotWaitWhileThePlatformIsUnreachable);
     CPPUNIT_TEST(configurationArrivesWithUpdates);
     CPPUNIT_TEST(readerWithoutConfigurationSendsNoUpdates);
+    CPPUNIT_TEST(updateIsAsOldAsItsOperatorRecords);
+    CPPUNIT_TEST(failedReadIsRepeatedWhenThePlatformAnswers);
     CPPUNIT_TEST(idleFollowerOfASilentReaderReadsTheConfiguration);
     CPPUNIT_TEST(readerIsOneOfTheLargestInstances);
     CPPUNIT_TEST(lostReaderIsReplacedAtOnce);
@@ -266,6 +268,34 @@
         CPPUNIT_ASSERT(*m_follower->source.pollTimeout <= 1s);
     }
 
+    // Guards against followers that rely on records which the reader has not been able to read for
+    // seconds, because its reads of the targets succeeded: they served by an old configuration
+    // beyond the bound (hunt-d3da-7, 125 instances).
+    void updateIsAsOldAsItsOperatorRecords()
+    {
+        makePair();
+        m_reader->source.readAt = m_loop->clock.now() - 1s;
+        m_reader->coordinator.targetsRead(makeTargetList("t"), m_loop->clock.now(), true);
+        CPPUNIT_ASSERT(!m_reader->links.sent.empty());
+        const TimePoint receivedAt = m_loop->clock.now();
+        const auto update = decodeUpdate(m_reader->links.sent.back().second, receivedAt);
+        CPPUNIT_ASSERT(update.ok());
+        CPPUNIT_ASSERT(receivedAt - update->asOf > 990ms);
+    }
+
+    // Guards against an instance that is in contact again but waits until the end of its back-off
+    // before it learns of targets that have left.
+    void failedReadIsRepeatedWhenThePlatformAnswers()
+    {
+        makePair();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_reader->source.reads == 1; }));
+        m_reader->coordinator.platformRegained();
+        CPPUNIT_ASSERT_EQUAL(1, m_reader->source.reads);
+        m_reader->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
+        m_reader->coordinator.platformRegained();
+        CPPUNIT_ASSERT_EQUAL(2, m_reader->source.reads);
+    }
+
     // Guards against every instance reading the platform, which charges for each call.
     void onlyTheReaderReadsWhileItsUpdatesArrive()
     {
