Forward requests without room, and keep callers in their region in a shortage

Hypotheses: (1) a dispatcher without room can offer a request to another dispatcher, whose counts are exact, instead of taking slots unseen; (2) callers outside of the home regions can stay in their region, whose instance forwards only the requests that must leave, but this pays for bytes between regions, so it should follow the observed shortage. Change: DispatcherSelector chooses another dispatcher with a window for each one; RequestForwarder sends the request over the callers' port, one hop only, and keeps the three outcomes apart. The owner of each target is worked out once.

--- a/src/gateway/dispatchplan.cpp
+++ b/src/gateway/dispatchplan.cpp
@@ -193,28 +193,52 @@
     return best;
 }
 
-std::vector<AddressCandidate> addressCandidates(const DispatchInputs &inputs,
-                                                const AddressQuery &query)
+TargetOwnership::TargetOwnership(const DispatchInputs &inputs)
+{
+    std::map<std::string, std::string> groups;
+    std::map<std::pair<std::string, std::string>, std::vector<GatewayInstance>> dispatchers;
+    for (const TargetRecord &it : inputs.targets.targets) {
+        auto group = groups.find(it.service);
+        if (group == groups.end()) {
+            const std::set<std::string> services =
+                    servicesOfGroup(inputs.configuration, it.service);
+            for (const std::string &service : services)
+                groups[service] = *services.begin();
+            group = groups.find(it.service);
+        }
+        const auto [known, isNew] = dispatchers.try_emplace({ group->second, it.failureDomain });
+        if (isNew)
+            known->second = dispatchersOf(inputs, it.service, it.failureDomain);
+        if (const GatewayInstance *owner = lycheebay::ownerOf(known->second, it))
+            m_owners[it.id] = *owner;
+    }
+}
+
+const GatewayInstance *TargetOwnership::ownerOf(const TargetRecord &target) const
+{
+    const auto it = m_owners.find(target.id);
+    return it == m_owners.end() ? nullptr : &it->second;
+}
+
+namespace {
+
+/// Returns the owners of the usable targets of \a services in \a regions; empty regions means all.
+std::vector<AddressCandidate> ownersIn(const DispatchInputs &inputs,
+                                       const std::vector<std::string> &services,
+                                       const std::vector<std::string> &regions)
 {
-    const RoutedHost *host = findHost(inputs.configuration, query.host);
-    if (!host)
-        return fallbackCandidates(inputs.instances, query.failureDomain);
-    const HostRequirements requirements = requirementsOf(*host, query.region);
     std::map<std::string, std::vector<GatewayInstance>> dispatchers;
     std::map<Address, int> slots;
     for (const TargetRecord &it : inputs.targets.targets) {
-        const bool usable = !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
-                            && contains(requirements.services, it.service)
-                            && requirements.allows(regionOf(inputs, it.failureDomain));
+        const bool usable =
+                !it.leaving && !contains(inputs.drained.domains, it.failureDomain)
+                && contains(services, it.service)
+                && (regions.empty() || contains(regions, regionOf(inputs, it.failureDomain)));
         if (!usable)
             continue;
-        auto known = dispatchers.find(it.failureDomain);
-        if (known == dispatchers.end()) {
-            known = dispatchers
-                            .emplace(it.failureDomain,
-                                     dispatchersOf(inputs, it.service, it.failureDomain))
-                            .first;
-        }
+        const auto [known, isNew] = dispatchers.try_emplace(it.failureDomain);
+        if (isNew)
+            known->second = dispatchersOf(inputs, it.service, it.failureDomain);
         if (const GatewayInstance *owner = ownerOf(known->second, it))
             slots[owner->address] += it.slots;
     }
@@ -222,6 +246,36 @@
     candidates.reserve(slots.size());
     for (const auto &[address, count] : slots)
         candidates.push_back({ address, count });
+    return candidates;
+}
+
+} // namespace
+
+std::vector<std::string> distantHomeRegions(const GatewayConfiguration &configuration,
+                                            const AddressQuery &query)
+{
+    const RoutedHost *host = findHost(configuration, query.host);
+    if (!host)
+        return {};
+    const bool mayStay = std::any_of(host->routes.begin(), host->routes.end(),
+                                     [](const Route &it) { return it.homeRegions.empty(); });
+    const HostRequirements requirements = requirementsOf(*host, query.region);
+    const bool distant = mayStay && !requirements.allows(query.region);
+    return distant ? requirements.regions : std::vector<std::string>();
+}
+
+std::vector<AddressCandidate> addressCandidates(const DispatchInputs &inputs,
+                                                const AddressQuery &query)
+{
+    const RoutedHost *host = findHost(inputs.configuration, query.host);
+    if (!host)
+        return fallbackCandidates(inputs.instances, query.failureDomain);
+    const HostRequirements requirements = requirementsOf(*host, query.region);
+    std::vector<AddressCandidate> candidates;
+    if (query.staysInRegion && !distantHomeRegions(inputs.configuration, query).empty())
+        candidates = ownersIn(inputs, requirements.services, { query.region });
+    if (candidates.empty())
+        candidates = ownersIn(inputs, requirements.services, requirements.regions);
     return candidates.empty() ? fallbackCandidates(inputs.instances, query.failureDomain)
                               : candidates;
 }
--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -45,6 +45,21 @@
 const GatewayInstance *ownerOf(const std::vector<GatewayInstance> &dispatchers,
                                const TargetRecord &target);
 
+/// The owner of every target, computed once for a state of the estate. Immutable; thread-safe.
+class TargetOwnership
+{
+public:
+    TargetOwnership() = default;
+    explicit TargetOwnership(const DispatchInputs &inputs);
+
+    /// Returns the dispatcher that owns the target, or null if its failure domain has no instance.
+    const GatewayInstance *ownerOf(const TargetRecord &target) const;
+
+private:
+    /// Keys are target ids.
+    StringMap<GatewayInstance> m_owners;
+};
+
 /// A caller's request for instance addresses.
 struct AddressQuery
 {
@@ -52,6 +67,8 @@
     std::string host;
     std::string failureDomain;
     std::string region;
+    /// The caller should stay in its region if part of its requests may be served there.
+    bool staysInRegion = false;
 
     auto operator<=>(const AddressQuery &) const = default;
 };
@@ -66,6 +83,12 @@
     auto operator<=>(const AddressCandidate &) const = default;
 };
 
+/// Returns the home regions to which a caller is usually sent although some routes of its host may be
+/// served in its own region; empty if it is in a home region, or if all requests must go there.
+/// Thread-safe.
+std::vector<std::string> distantHomeRegions(const GatewayConfiguration &configuration,
+                                            const AddressQuery &query);
+
 /// Returns the dispatchers that own targets which may serve the caller. If there are none, returns
 /// some instances near the caller with equal capacities. Empty only if no instance is known.
 /// Thread-safe.
--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -73,4 +73,47 @@
     }
 };
 
+/// Requests for lack of room between this region and another one.
+struct RegionOverflow
+{
+    std::string region;
+    /// Requests from that region which got a target here.
+    int received = 0;
+    /// Requests from here which got a target there.
+    int sent = 0;
+
+    auto operator<=>(const RegionOverflow &) const = default;
+};
+
+/// What the dispatchers of a region have counted in some period.
+struct OverflowCounts : RefCounted
+{
+    /// Requests that got a target here.
+    int placed = 0;
+    std::vector<RegionOverflow> regions;
+};
+
+/// Share of the callers in this region that stay here although \a homeRegion serves some of their
+/// requests.
+struct LocalShare
+{
+    std::string homeRegion;
+    /// From 0 to 1.
+    double share = 0;
+
+    auto operator<=>(const LocalShare &) const = default;
+};
+
+/// The shares that are in force in a region, sorted by home region; those not listed are zero.
+/// Immutable once published.
+struct LocalShares : RefCounted
+{
+    std::vector<LocalShare> shares;
+
+    friend bool operator==(const LocalShares &a, const LocalShares &b)
+    {
+        return a.shares == b.shares;
+    }
+};
+
 } // namespace lycheebay
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 
 namespace lycheebay {
 
@@ -19,6 +20,8 @@
 // nothing to cold targets, since the actual owner's requests would come on top.
 constexpr Duration kColdTargetHoldOff = std::chrono::seconds(4);
 constexpr std::size_t kMaxCachedAddressQueries = 1000;
+constexpr Duration kOverflowReportPeriod = std::chrono::milliseconds(250);
+constexpr Duration kIdleConnectionCheckPeriod = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -29,7 +32,9 @@
     , m_blackboard(blackboard)
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
-    , m_context{ context, timers, clock, random, protocol, metrics, m_log }
+    , m_context{ context, timers, clock, random, protocol, metrics, m_log, m_overflow,
+                 m_settings.region }
+    , m_instanceConnections(context, timers, clock)
     , m_listener(context, timers, clock,
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
     , m_startedAt(clock.now())
@@ -42,6 +47,12 @@
     m_blackboard.drainedDomains.subscribe([this](const auto &) { configureDispatchers(); });
     m_blackboard.instances.subscribe([this](const auto &) { configureDispatchers(); });
     m_coldTargetHoldOffTimer = timers.after(kColdTargetHoldOff, [this] { configureDispatchers(); });
+    m_idleConnectionTimer = timers.every(kIdleConnectionCheckPeriod,
+                                         [this] { m_instanceConnections.closeIdle(); });
+    m_overflowTimer = timers.every(kOverflowReportPeriod, [this] {
+        if (auto counts = m_overflow.take())
+            m_blackboard.overflow.publish(std::move(counts));
+    });
 }
 
 Gateway::~Gateway() = default;
@@ -118,8 +129,8 @@
     const WeightedService &weighted = chooseService(*route, m_context.random);
     ServiceDispatcher &dispatcher = dispatcherOf(weighted.service, *route);
     const Duration waited = previousWait(*route, metadata);
-    makeRef<ProxiedRequest>(m_context, exchange, configuration, *route, dispatcher, metadata,
-                            waited)
+    makeRef<ProxiedRequest>(m_context, exchange, configuration, *route, dispatcher,
+                            m_instanceConnections, metadata, waited)
             ->start();
 }
 
@@ -139,6 +150,8 @@
             jsonResponse(status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     if (status == httpstatus::kUnavailable)
         response.headers.push_back({ "Retry-After", kRetryAfterSeconds });
+    if (isForwarded(exchange.request()))
+        response.headers.push_back({ kForwardOutcomeHeader, kNotRunOutcome });
     LogFields fields("refused");
     const auto configuration = m_blackboard.configuration.read();
     fields.add("request", metadata.attemptId)
@@ -159,7 +172,10 @@
     const auto drained = m_blackboard.drainedDomains.read();
     if (!configuration || !instances)
         return {};
-    const std::string key = query.host + '/' + query.failureDomain + '/' + query.region;
+    AddressQuery placed = query;
+    placed.staysInRegion = staysInRegion(*configuration, query);
+    const std::string key = query.host + '/' + query.failureDomain + '/' + query.region
+                            + (placed.staysInRegion ? "/local" : "");
     auto known = m_addressCache.find(key);
     if (known == m_addressCache.end()) {
         // Callers choose the host, so the cache is bounded against arbitrary host names.
@@ -170,13 +186,31 @@
         const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
                                      drained ? *drained : noDomains, *instances,
                                      m_settings.regions };
-        known = m_addressCache.emplace(key, addressCandidates(inputs, query)).first;
+        known = m_addressCache.emplace(key, addressCandidates(inputs, placed)).first;
     }
     std::vector<Address> addresses = sampleAddresses(known->second, m_context.random);
     m_metrics.countAddressAnswer(addresses.empty());
     return addresses;
 }
 
+bool Gateway::staysInRegion(const GatewayConfiguration &configuration, const AddressQuery &query)
+{
+    const auto shares = m_blackboard.localShares.read();
+    if (!shares || shares->shares.empty())
+        return false;
+    // The callers stay as far as all of their home regions are short of room.
+    double share = 1;
+    const std::vector<std::string> homes = distantHomeRegions(configuration, query);
+    for (const std::string &home : homes) {
+        const auto it = std::find_if(shares->shares.begin(), shares->shares.end(),
+                                     [&](const LocalShare &entry) {
+                                         return entry.homeRegion == home;
+                                     });
+        share = std::min(share, it == shares->shares.end() ? 0 : it->share);
+    }
+    return !homes.empty() && m_context.random.uniform() < share;
+}
+
 void Gateway::configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration)
 {
     HttpListenerLimits limits = m_listener.limits();
@@ -217,53 +251,89 @@
     const std::size_t instanceCount = instances ? instances->instances.size() : 1;
     m_metrics.setInstances(instanceCount);
     m_metrics.setTargets(targets ? targets->targets.size() : 0);
+    TargetOwnership ownership;
+    if (instances && targets) {
+        const DrainedDomains noDomains;
+        ownership = TargetOwnership(
+                { *configuration, *targets, noDomains, *instances, m_settings.regions });
+    }
     for (const auto &[service, dispatcher] : m_dispatchers) {
         const ServiceProperties *known = findService(*configuration, service);
         const ServiceProperties properties = known ? *known : ServiceProperties();
-        dispatcher->configure(properties, poolTargets(service), ownershipKnown);
+        dispatcher->configure(properties, poolTargets(service, ownership),
+                              remoteDispatchers(service, ownership), ownershipKnown);
         dispatcher->retryLimiter().setBudget(m_settings.retryBudget, instanceCount);
     }
 }
 
-std::vector<PoolTarget> Gateway::poolTargets(const std::string &service) const
+std::vector<PoolTarget> Gateway::poolTargets(const std::string &service,
+                                             const TargetOwnership &ownership) const
 {
-    const auto configuration = m_blackboard.configuration.read();
     const auto targets = m_blackboard.targets.read();
-    const auto drained = m_blackboard.drainedDomains.read();
-    const auto instances = m_blackboard.instances.read();
     std::vector<PoolTarget> selected;
     if (!targets)
         return selected;
-    const DrainedDomains noDomains;
-    const InstanceList noInstances;
-    const DispatchInputs inputs{ *configuration, *targets, drained ? *drained : noDomains,
-                                 instances ? *instances : noInstances, m_settings.regions };
-    const auto dispatchers = dispatchersOf(inputs, service, m_settings.failureDomain);
-    const auto &domains = inputs.drained.domains;
     for (const TargetRecord &it : targets->targets) {
         if (it.service != service)
             continue;
-        const auto region = m_settings.regions.find(it.failureDomain);
-        const bool isDrained =
-                std::find(domains.begin(), domains.end(), it.failureDomain) != domains.end();
         Proximity proximity = proximityOf(it.failureDomain);
-        const GatewayInstance *owner = ownerOf(dispatchers, it);
+        const GatewayInstance *owner = ownership.ownerOf(it);
         if (proximity == Proximity::SameDomain && owner && owner->id == m_settings.instanceId)
             proximity = Proximity::Owned;
-        selected.push_back({ it, region == m_settings.regions.end() ? "" : region->second,
-                             proximity, isDrained });
+        selected.push_back(
+                { it, regionOf(it.failureDomain), proximity, isDrained(it.failureDomain) });
     }
     return selected;
 }
 
+std::vector<RemoteDispatcher> Gateway::remoteDispatchers(const std::string &service,
+                                                         const TargetOwnership &ownership) const
+{
+    const auto targets = m_blackboard.targets.read();
+    std::map<std::string, RemoteDispatcher> dispatchers;
+    if (targets) {
+        for (const TargetRecord &it : targets->targets) {
+            const GatewayInstance *owner = ownership.ownerOf(it);
+            const bool usable = it.service == service && !it.leaving && owner
+                                && owner->id != m_settings.instanceId
+                                && !isDrained(it.failureDomain);
+            if (!usable)
+                continue;
+            RemoteDispatcher &dispatcher = dispatchers[owner->id];
+            dispatcher.instanceId = owner->id;
+            dispatcher.address = owner->address;
+            dispatcher.region = regionOf(it.failureDomain);
+            dispatcher.proximity = proximityOf(it.failureDomain);
+            dispatcher.slots += it.slots;
+        }
+    }
+    std::vector<RemoteDispatcher> selected;
+    selected.reserve(dispatchers.size());
+    for (auto &[id, dispatcher] : dispatchers)
+        selected.push_back(std::move(dispatcher));
+    return selected;
+}
+
+bool Gateway::isDrained(const std::string &failureDomain) const
+{
+    const auto drained = m_blackboard.drainedDomains.read();
+    return drained
+           && std::find(drained->domains.begin(), drained->domains.end(), failureDomain)
+                      != drained->domains.end();
+}
+
+std::string Gateway::regionOf(const std::string &failureDomain) const
+{
+    const auto it = m_settings.regions.find(failureDomain);
+    return it == m_settings.regions.end() ? std::string() : it->second;
+}
+
 Proximity Gateway::proximityOf(const std::string &failureDomain) const
 {
     if (failureDomain == m_settings.failureDomain)
         return Proximity::SameDomain;
-    const auto region = m_settings.regions.find(failureDomain);
-    const bool sameRegion =
-            region != m_settings.regions.end() && region->second == m_settings.region;
-    return sameRegion ? Proximity::SameRegion : Proximity::OtherRegion;
+    return regionOf(failureDomain) == m_settings.region ? Proximity::SameRegion
+                                                        : Proximity::OtherRegion;
 }
 
 } // namespace lycheebay
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "gateway/dispatchplan.h"
 #include "gateway/gatewayblackboard.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/instanceconnections.h"
 #include "gateway/internal/servicedispatcher.h"
 #include "gateway/shutdownplan.h"
 #include "http/httplistener.h"
@@ -92,18 +93,29 @@
     Duration previousWait(const Route &route, const RequestMetadata &metadata);
     void refuse(HttpExchange &exchange, int status, const char *reason,
                 const RequestMetadata &metadata);
+    /// Draws whether the caller stays in its region although part of its requests must leave it.
+    bool staysInRegion(const GatewayConfiguration &configuration, const AddressQuery &query);
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
     void configureDispatchers();
-    std::vector<PoolTarget> poolTargets(const std::string &service) const;
+    std::vector<PoolTarget> poolTargets(const std::string &service,
+                                        const TargetOwnership &ownership) const;
+    /// Returns the other instances that own usable targets of \a service.
+    std::vector<RemoteDispatcher> remoteDispatchers(const std::string &service,
+                                                    const TargetOwnership &ownership) const;
     void invalidateAddressCache() { m_addressCache.clear(); }
     ServiceDispatcher &dispatcherOf(const std::string &service, const Route &route);
     Proximity proximityOf(const std::string &failureDomain) const;
+    bool isDrained(const std::string &failureDomain) const;
+    /// Returns the region of a failure domain; empty if it is not known.
+    std::string regionOf(const std::string &failureDomain) const;
 
     GatewaySettings m_settings;
     GatewayBlackboard &m_blackboard;
     GatewayMetrics &m_metrics;
     DecisionLog m_log;
+    OverflowCounter m_overflow;
     GatewayContext m_context;
+    InstanceConnections m_instanceConnections;
     HttpListener m_listener;
     ITargetListRefresher *m_refresher = nullptr;
     StringMap<std::unique_ptr<ServiceDispatcher>> m_dispatchers;
@@ -115,6 +127,8 @@
     StringMap<std::vector<AddressCandidate>> m_addressCache;
     TimePoint m_startedAt;
     TimerSubscription m_coldTargetHoldOffTimer;
+    TimerSubscription m_idleConnectionTimer;
+    TimerSubscription m_overflowTimer;
     std::optional<ShutdownPlan> m_shutdown;
 };
 
--- a/src/gateway/gatewayblackboard.h
+++ b/src/gateway/gatewayblackboard.h
@@ -14,6 +14,9 @@
     Topic<TargetList> targets;
     Topic<DrainedDomains> drainedDomains;
     Topic<InstanceList> instances;
+    /// Overflow counted by this instance since the value before.
+    Topic<OverflowCounts> overflow;
+    Topic<LocalShares> localShares;
 };
 
 } // namespace lycheebay
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -47,6 +47,8 @@
     , m_extraAttempts(counterFamily(m_registry, "lycheebay_gateway_extra_attempts_total",
                                     "Attempts after the first one, allowed or over budget."))
     , m_probes(counterFamily(m_registry, "lycheebay_gateway_probes_total", "Probes of targets."))
+    , m_forwards(counterFamily(m_registry, "lycheebay_gateway_forwards_total",
+                               "Requests forwarded to other instances, by result."))
     , m_connections(counterFamily(m_registry, "lycheebay_gateway_target_connections_total",
                                   "Connections opened to targets for requests.")
                             .Add({}))
@@ -92,6 +94,11 @@
     m_probes.Add({ { "result", answered ? "answered" : "silent" } }).Increment();
 }
 
+void GatewayMetrics::countForward(const std::string &result)
+{
+    m_forwards.Add({ { "result", result } }).Increment();
+}
+
 void GatewayMetrics::countConnectionOpened()
 {
     m_connections.Increment();
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -25,6 +25,8 @@
     void countAttempt(const std::string &verdict);
     void countExtraAttempt(bool allowed);
     void countProbe(bool answered);
+    /// Counts a request that was forwarded to another instance, by its result.
+    void countForward(const std::string &result);
     void countConnectionOpened();
     void countAddressAnswer(bool empty);
     void countStoreCall(const std::string &call, const std::string &result);
@@ -44,6 +46,7 @@
     prometheus::Family<prometheus::Counter> &m_attempts;
     prometheus::Family<prometheus::Counter> &m_extraAttempts;
     prometheus::Family<prometheus::Counter> &m_probes;
+    prometheus::Family<prometheus::Counter> &m_forwards;
     prometheus::Counter &m_connections;
     prometheus::Family<prometheus::Counter> &m_addressAnswers;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -4,6 +4,7 @@
 #include "base/itimerservice.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/internal/decisionlog.h"
+#include "gateway/internal/overflowcounter.h"
 #include "gateway/itargetprotocol.h"
 
 #include <asio/io_context.hpp>
@@ -21,6 +22,9 @@
     const ITargetProtocol &protocol;
     GatewayMetrics &metrics;
     DecisionLog &log;
+    OverflowCounter &overflow;
+    /// Region of this instance.
+    std::string region;
 };
 
 } // namespace lycheebay
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -47,6 +47,7 @@
 ProxiedRequest::ProxiedRequest(GatewayContext &context, IntrusivePtr<HttpExchange> exchange,
                                IntrusivePtr<const GatewayConfiguration> configuration,
                                const Route &route, ServiceDispatcher &dispatcher,
+                               InstanceConnections &instanceConnections,
                                const RequestMetadata &metadata, Duration previousWait)
     : m_context(context)
     , m_exchange(std::move(exchange))
@@ -54,6 +55,13 @@
     , m_route(route)
     , m_dispatcher(dispatcher)
     , m_requestMetadata(metadata)
+    , m_forwarder(makeRef<RequestForwarder>(context, dispatcher.dispatcherSelector(),
+                                            instanceConnections, metadata.attemptId))
+    , m_isForwarded(isForwarded(m_exchange->request()))
+    , m_mustLeaveRegion(!route.homeRegions.empty()
+                        && std::find(route.homeRegions.begin(), route.homeRegions.end(),
+                                     context.region)
+                                   == route.homeRegions.end())
 {
     const TimePoint now = m_context.clock.now();
     m_queuedRequest.id = dispatcher.nextRequestId();
@@ -74,8 +82,53 @@
     const Duration left = m_queuedRequest.deadline - m_context.clock.now();
     m_deadlineTimer = m_context.timers.after(std::max(left, Duration::zero()),
                                              [self] { self->deadlineExpired(); });
-    m_dispatcher.retryLimiter().countRequest(m_context.clock.now());
-    enqueue();
+    // The instance that forwarded the request has counted it.
+    if (!m_isForwarded)
+        m_dispatcher.retryLimiter().countRequest(m_context.clock.now());
+    if (!m_mustLeaveRegion || !forward(ForwardReason::HomeRegion))
+        enqueue();
+}
+
+bool ProxiedRequest::forward(ForwardReason reason)
+{
+    // One hop only: instances whose configurations differ must not pass a request back and forth.
+    if (m_isForwarded || m_attempts > 0 || m_forwarder->wasSent())
+        return false;
+    const ForwardRequest wanted{ reason,
+                                 m_route.homeRegions,
+                                 {},
+                                 m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
+    const IntrusivePtr<ProxiedRequest> self(this);
+    return m_forwarder->start(
+            endToEndRequest(), wanted, m_queuedRequest.deadline,
+            [self](ForwardOutcome outcome, HttpResponse response, Duration retryAfter) {
+                self->forwardEnded(outcome, std::move(response), retryAfter);
+            });
+}
+
+void ProxiedRequest::forwardEnded(ForwardOutcome outcome, HttpResponse response,
+                                  Duration retryAfter)
+{
+    if (m_ended)
+        return;
+    switch (outcome) {
+    case ForwardOutcome::Response:
+        if (response.status < httpstatus::kFirstError
+            && !m_context.protocol.readResponseMetadata(response).sealed) {
+            m_executionState = ExecutionState::MayHaveRun;
+            fail(httpstatus::kBadGateway, "unsealed_answer");
+            return;
+        }
+        deliver(std::move(response));
+        return;
+    case ForwardOutcome::NotRun:
+        refuse("no_dispatcher", retryAfter);
+        return;
+    case ForwardOutcome::Unknown:
+        m_executionState = ExecutionState::MayHaveRun;
+        fail(httpstatus::kBadGateway, "forward_failed");
+        return;
+    }
 }
 
 void ProxiedRequest::enqueue()
@@ -100,6 +153,7 @@
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
     ++m_attempts;
+    countPlacement();
     m_context.metrics.observeQueueTime(elapsedSince(m_queuedRequest.arrival));
     LogFields fields = logFields("placed");
     fields.add("target", placement.target.id)
@@ -120,6 +174,14 @@
     send(attempt);
 }
 
+void ProxiedRequest::countPlacement()
+{
+    m_context.overflow.countPlaced();
+    const std::string origin = overflowOrigin(m_exchange->request());
+    if (!origin.empty() && origin != m_context.region)
+        m_context.overflow.countReceived(origin);
+}
+
 void ProxiedRequest::send(const AttemptPtr &attempt)
 {
     const Duration remaining = m_queuedRequest.deadline - attempt->sentAt;
@@ -150,6 +212,13 @@
 }
 
 HttpRequest ProxiedRequest::attemptRequest(const TargetRecord &target, Duration remaining) const
+{
+    HttpRequest request = endToEndRequest();
+    m_context.protocol.addAttemptFields(request.headers, target.id, remaining);
+    return request;
+}
+
+HttpRequest ProxiedRequest::endToEndRequest() const
 {
     const HttpRequest &original = m_exchange->request();
     HttpRequest request{ original.method, original.target, {}, original.body };
@@ -158,7 +227,7 @@
     for (HttpHeader &it : endToEndHeaders(original.headers))
         request.headers.push_back(std::move(it));
     removeHeader(request.headers, "Expect");
-    m_context.protocol.addAttemptFields(request.headers, target.id, remaining);
+    removeHeader(request.headers, kForwardedHeader);
     return request;
 }
 
@@ -264,7 +333,7 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
-    if (!isPending())
+    if (!isPending() && !forward(ForwardReason::NoRoom))
         refuse(refusalName(refusal.reason), refusal.retryAfter);
 }
 
@@ -274,6 +343,7 @@
     if (m_ended)
         return;
     leaveQueue();
+    abandonForwarding();
     abandonAttempts();
     if (m_executionState == ExecutionState::NotRun)
         refuse("deadline", kRefusalRetryAfter);
@@ -290,8 +360,9 @@
     leaveQueue();
     // An at-most-once request may already have taken effect. It is not cancelled, and its answer is
     // discarded.
-    if (!m_active.empty() && !isIdempotent())
+    if ((!m_active.empty() || m_forwarder->isActive()) && !isIdempotent())
         return;
+    abandonForwarding();
     abandonAttempts();
     LogFields fields = logFields("caller_gone");
     fields.addMs("after_ms", elapsedSince(m_queuedRequest.arrival));
@@ -318,6 +389,14 @@
     m_dispatcher.finish(targetKey(attempt->targetConnections->record()), result, elapsed, metadata);
 }
 
+void ProxiedRequest::abandonForwarding()
+{
+    if (!m_forwarder->isActive())
+        return;
+    m_executionState = ExecutionState::MayHaveRun;
+    m_forwarder->cancel();
+}
+
 void ProxiedRequest::abandonAttempts()
 {
     const std::vector<AttemptPtr> attempts = m_active;
@@ -347,6 +426,8 @@
             jsonResponse(httpstatus::kUnavailable,
                          fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", toSeconds(retryAfter)) });
+    if (m_isForwarded)
+        response.headers.push_back({ kForwardOutcomeHeader, kNotRunOutcome });
     LogFields fields = logFields("refused");
     fields.add("reason", reason).addMs("retry_after_ms", retryAfter);
     m_context.log.write(fields);
@@ -358,8 +439,11 @@
     LogFields fields = logFields("failed");
     fields.add("reason", reason).add("attempts", m_attempts);
     m_context.log.write(fields);
-    answer(jsonResponse(status, fmt::format(R"({{"outcome":"unknown","reason":"{}"}})", reason)),
-           "failed");
+    HttpResponse response =
+            jsonResponse(status, fmt::format(R"({{"outcome":"unknown","reason":"{}"}})", reason));
+    if (m_isForwarded)
+        response.headers.push_back({ kForwardOutcomeHeader, kUnknownOutcome });
+    answer(response, "failed");
 }
 
 void ProxiedRequest::answer(const HttpResponse &response, const char *outcome)
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/internal/requestforwarder.h"
 #include "gateway/internal/servicedispatcher.h"
 #include "http/httplistener.h"
 
@@ -28,8 +29,8 @@
     /// belongs to \a configuration.
     ProxiedRequest(GatewayContext &context, IntrusivePtr<HttpExchange> exchange,
                    IntrusivePtr<const GatewayConfiguration> configuration, const Route &route,
-                   ServiceDispatcher &dispatcher, const RequestMetadata &metadata,
-                   Duration previousWait);
+                   ServiceDispatcher &dispatcher, InstanceConnections &instanceConnections,
+                   const RequestMetadata &metadata, Duration previousWait);
 
     void start();
 
@@ -43,6 +44,12 @@
     /// Whether a target may have run this request.
     enum class ExecutionState { NotRun, MayHaveRun };
 
+    /// Forwards the request to another dispatcher if that may serve it; returns false if not.
+    bool forward(ForwardReason reason);
+    void forwardEnded(ForwardOutcome outcome, HttpResponse response, Duration retryAfter);
+    /// Headers and body of the caller's request, without fields that concern one connection.
+    HttpRequest endToEndRequest() const;
+    void countPlacement();
     void enqueue();
     void leaveQueue();
     void send(const AttemptPtr &attempt);
@@ -62,10 +69,11 @@
     }
     bool mayTryAgain() const;
     bool tryAgain(const char *why);
-    /// True while the request is queued or has an attempt in flight.
-    bool isPending() const { return m_queued || !m_active.empty(); }
+    /// True while the request is queued, forwarded or has an attempt in flight.
+    bool isPending() const { return m_queued || !m_active.empty() || m_forwarder->isActive(); }
     void finishAttempt(const AttemptPtr &attempt, AttemptResult result,
                        std::optional<Duration> elapsed, const ResponseMetadata &metadata = {});
+    void abandonForwarding();
     void abandonAttempts();
     void deliver(HttpResponse response);
     void refuse(const char *reason, Duration retryAfter);
@@ -81,6 +89,11 @@
     const Route &m_route;
     ServiceDispatcher &m_dispatcher;
     const RequestMetadata m_requestMetadata;
+    const IntrusivePtr<RequestForwarder> m_forwarder;
+    /// Another instance forwarded the request to this one.
+    const bool m_isForwarded;
+    /// The route's home regions do not include the region of this instance.
+    const bool m_mustLeaveRegion;
     QueuedRequest m_queuedRequest;
     TimerSubscription m_deadlineTimer;
     std::vector<AttemptPtr> m_active;
--- /dev/null
+++ b/src/gateway/internal/requestforwarder.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "gateway/dispatcherselector.h"
+#include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/instanceconnections.h"
+
+#include <functional>
+
+namespace lycheebay {
+
+/// Header field of a request that another instance forwarded; it is not forwarded again. Its value
+/// is kForwardedToHome, or the region of the instance if that had no room.
+constexpr char kForwardedHeader[] = "Lycheebay-Forwarded";
+constexpr char kForwardedToHome[] = "-";
+/// Header field of the response to a forwarded request that is not a target's response. Its value
+/// is kNotRunOutcome or kUnknownOutcome.
+constexpr char kForwardOutcomeHeader[] = "Lycheebay-Forward-Outcome";
+constexpr char kNotRunOutcome[] = "not-run";
+constexpr char kUnknownOutcome[] = "unknown";
+
+/// True if another instance forwarded the request to this one.
+bool isForwarded(const HttpRequest &request);
+
+/// Returns the region of the instance that forwarded the request for lack of room; empty if none
+/// did.
+std::string overflowOrigin(const HttpRequest &request);
+
+/// How the forwarding of a request ended.
+enum class ForwardOutcome {
+    Response, ///< a target responded
+    NotRun,   ///< no target got the request
+    Unknown,  ///< a target may have run the request
+};
+
+/// Forwards one request to other dispatchers, one after the other, until one accepts it. Not
+/// thread-safe: use it on the event loop.
+class RequestForwarder final : public RefCounted
+{
+public:
+    /// \a response is set if a target responded, \a retryAfter if the request did not run.
+    using Done = std::function<void(ForwardOutcome outcome, HttpResponse response,
+                                    Duration retryAfter)>;
+
+    /// Precondition: the references outlive the forwarder.
+    RequestForwarder(GatewayContext &context, DispatcherSelector &selector,
+                     InstanceConnections &connections, std::string attemptId);
+
+    /// Sends \a request to another dispatcher and calls \a done later, unless cancel() comes
+    /// before. Returns false, without a call, if there is no dispatcher for it. Precondition: no
+    /// earlier forwarding is under way.
+    bool start(HttpRequest request, const ForwardRequest &wanted, TimePoint deadline, Done done);
+    /// Gives the request up. The dispatcher cancels it if it is idempotent.
+    void cancel();
+
+    /// True from start() until \a done is called or the request is cancelled.
+    bool isActive() const { return static_cast<bool>(m_done); }
+    /// True if a dispatcher may have got the request.
+    bool wasSent() const { return m_connection != nullptr; }
+
+private:
+    bool sendToNext();
+    void transferEnded(TransferResult result, HttpResponse response);
+    void responseReceived(HttpResponse response);
+    void recordResult(ForwardResult result, Duration retryAfter);
+    void refused(ForwardResult result, Duration retryAfter);
+    void finish(ForwardOutcome outcome, HttpResponse response, Duration retryAfter);
+
+    GatewayContext &m_context;
+    DispatcherSelector &m_selector;
+    InstanceConnections &m_connections;
+    const std::string m_attemptId;
+    HttpRequest m_request;
+    ForwardRequest m_wanted;
+    TimePoint m_deadline;
+    TimePoint m_sentAt;
+    Done m_done;
+    RemoteDispatcher m_dispatcher;
+    IntrusivePtr<HttpClientConnection> m_connection;
+};
+
+} // namespace lycheebay
--- a/src/gateway/internal/servicedispatcher.cpp
+++ b/src/gateway/internal/servicedispatcher.cpp
@@ -16,6 +16,7 @@
     : m_context(context)
     , m_service(std::move(service))
     , m_pool(settings, targetLatency, context.random)
+    , m_dispatcherSelector(context.random)
     , m_lastRequestAt(context.clock.now() - kInactiveAfter)
 {
     m_idleTimer = context.timers.every(kIdleCheckPeriod, [this] {
@@ -34,8 +35,11 @@
 }
 
 void ServiceDispatcher::configure(const ServiceProperties &properties,
-                                  const std::vector<PoolTarget> &targets, bool ownershipKnown)
+                                  const std::vector<PoolTarget> &targets,
+                                  const std::vector<RemoteDispatcher> &dispatchers,
+                                  bool ownershipKnown)
 {
+    m_dispatcherSelector.setDispatchers(dispatchers);
     m_healthPath = properties.healthPath;
     m_pool.setTargets(targets);
     m_pool.setColdPolicy(properties.coldRequestsPerSecond, ownershipKnown);
--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/stringmap.h"
+#include "gateway/dispatcherselector.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/targetconnections.h"
 #include "gateway/retrylimiter.h"
@@ -36,7 +37,7 @@
 
     /// \a ownershipKnown is false while this instance may not know all other dispatchers yet.
     void configure(const ServiceProperties &properties, const std::vector<PoolTarget> &targets,
-                   bool ownershipKnown);
+                   const std::vector<RemoteDispatcher> &dispatchers, bool ownershipKnown);
 
     /// Queues a request. Precondition: \a request lives until it is placed, refused or cancelled.
     void submit(const QueuedRequest &queued, IDispatchedRequest &request);
@@ -46,6 +47,10 @@
                 const ResponseMetadata &metadata);
 
     RetryLimiter &retryLimiter() { return m_retryLimiter; }
+    /// The other dispatchers of the service.
+    DispatcherSelector &dispatcherSelector() { return m_dispatcherSelector; }
+    /// Service time of a warm target at its usual speed.
+    Duration baselineServiceTime() const { return m_pool.baselineServiceTime(); }
     const std::string &service() const { return m_service; }
     QueuedRequestId nextRequestId() { return ++m_lastRequestId; }
 
@@ -62,6 +67,7 @@
     std::string m_healthPath;
     ServicePool m_pool;
     RetryLimiter m_retryLimiter;
+    DispatcherSelector m_dispatcherSelector;
     StringMap<IntrusivePtr<TargetConnections>> m_targetConnections;
     std::unordered_map<QueuedRequestId, IDispatchedRequest *> m_requests;
     QueuedRequestId m_lastRequestId = 0;
--- a/src/gateway/itargetprotocol.h
+++ b/src/gateway/itargetprotocol.h
@@ -65,6 +65,9 @@
     /// is the time left until the request's deadline. Precondition: \a remaining > 0.
     virtual void addAttemptFields(HttpHeaders &headers, const std::string &targetId,
                                   Duration remaining) const = 0;
+    /// Sets the time left until the deadline in a request to another instance. Precondition:
+    /// \a remaining > 0.
+    virtual void setDeadline(HttpHeaders &headers, Duration remaining) const = 0;
 };
 
 } // namespace lycheebay
--- a/src/gateway/lycheebayprotocol.cpp
+++ b/src/gateway/lycheebayprotocol.cpp
@@ -46,6 +46,11 @@
 
 void LycheebayProtocol::addAttemptFields(HttpHeaders &headers, const std::string &,
                                          Duration remaining) const
+{
+    setDeadline(headers, remaining);
+}
+
+void LycheebayProtocol::setDeadline(HttpHeaders &headers, Duration remaining) const
 {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
     setHeader(headers, kDeadlineHeader, std::to_string(ms));
--- a/src/gateway/lycheebayprotocol.h
+++ b/src/gateway/lycheebayprotocol.h
@@ -12,6 +12,7 @@
     ResponseMetadata readResponseMetadata(const HttpResponse &response) const override;
     void addAttemptFields(HttpHeaders &headers, const std::string &targetId,
                           Duration remaining) const override;
+    void setDeadline(HttpHeaders &headers, Duration remaining) const override;
 };
 
 } // namespace lycheebay
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -53,6 +53,9 @@
     , m_links(links)
     , m_settings(std::move(settings))
     , m_logger(componentLogger("estate"))
+    , m_spillover(timers, clock, blackboard,
+                  { [this](const OverflowCounts &it) { sendOverflowToReader(it); },
+                    [this] { sendUpdates(); } })
 {
     m_blackboard.instances.subscribe(
             [this](const IntrusivePtr<const InstanceList> &) { chooseReader(); });
@@ -120,6 +123,7 @@
     m_readerId = reader;
     m_readerSince = m_clock.now();
     m_role = reader == m_settings.instanceId ? Role::Reader : Role::Follower;
+    m_spillover.setReader(m_role == Role::Reader);
     LOG4CPLUS_INFO(m_logger,
                    "event=reader_chosen reader=" << reader << " self=" << (m_role == Role::Reader));
     // State from the previous link is discarded, and the closing of that link is ignored.
@@ -332,9 +336,37 @@
         update.instances = computeDiff(sent.instances, instances->instances);
         sent.instances = instances->instances;
     }
+    if (const auto shares = m_blackboard.localShares.read())
+        update.localShares = shares->shares;
     m_links.send(link, encodeUpdate(update, m_clock.now(), m_compressor));
 }
 
+void EstateCoordinator::sendOverflowToReader(const OverflowCounts &counts)
+{
+    if (!m_readerLink)
+        return;
+    EstateUpdate update;
+    update.asOf = m_clock.now();
+    update.placed = counts.placed;
+    update.overflow = counts.regions;
+    m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
+}
+
+absl::Status EstateCoordinator::followerFrameReceived(std::string_view frame)
+{
+    const auto update = decodeUpdate(frame, m_clock.now());
+    if (!update.ok())
+        return update.status();
+    if (!update->targets.upserted.empty() || !update->instances.upserted.empty()
+        || !update->operatorRecords.records.empty())
+        return absl::InvalidArgumentError("update from an instance that is not the reader");
+    OverflowCounts counts;
+    counts.placed = update->placed;
+    counts.regions = update->overflow;
+    m_spillover.addCounts(counts);
+    return absl::OkStatus();
+}
+
 void EstateCoordinator::linkOpened(LinkId link, bool outbound, const Address &remote)
 {
     if (outbound) {
@@ -354,6 +386,8 @@
 
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
 {
+    if (m_followers.contains(link))
+        return followerFrameReceived(frame);
     if (m_readerLink != link)
         return absl::InvalidArgumentError("update from an instance that is not the reader");
     const auto update = decodeUpdate(frame, m_clock.now());
@@ -370,6 +404,7 @@
     m_failures = 0;
     updateOperatorPollTimeout();
     publishReceived(update->targetsPosition);
+    m_spillover.adoptShares(update->localShares);
     releaseWaitingRequests();
     return absl::OkStatus();
 }
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -7,6 +7,7 @@
 #include "gateway/gatewayblackboard.h"
 #include "gateway/relay/estateupdate.h"
 #include "gateway/relay/iestatesource.h"
+#include "gateway/relay/spillovercoordinator.h"
 #include "transport/ipeerlinks.h"
 
 #include <log4cplus/logger.h>
@@ -125,6 +126,8 @@
     void sendUpdates();
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
+    absl::Status followerFrameReceived(std::string_view frame);
+    void sendOverflowToReader(const OverflowCounts &counts);
 
     ITimerService &m_timers;
     const IClock &m_clock;
@@ -141,6 +144,7 @@
     std::map<std::string, TimePoint> m_suspects;
     std::map<LinkId, SyncedState> m_followers;
     RecordCompressor m_compressor;
+    SpilloverCoordinator m_spillover;
     std::optional<LinkId> m_readerLink;
     /// State that was received from the reader.
     SyncedState m_received;
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -143,6 +143,30 @@
     return status;
 }
 
+absl::Status decodeSpillover(const relaywire::EstateUpdate &message, EstateUpdate &update)
+{
+    // Counts of one frame; more would be an error of the sender.
+    static constexpr std::uint32_t kMaxCount = 1'000'000;
+    const auto count = [](std::uint32_t it) { return static_cast<int>(std::min(it, kMaxCount)); };
+    if (message.local_shares()) {
+        for (const relaywire::LocalShare *it : *message.local_shares()) {
+            if (!isValidName(it->home_region()) || !(it->share() >= 0 && it->share() <= 1))
+                return absl::InvalidArgumentError("invalid share of callers");
+            update.localShares.push_back({ it->home_region()->str(), it->share() });
+        }
+    }
+    update.placed = count(message.placed());
+    if (message.overflow()) {
+        for (const relaywire::RegionOverflow *it : *message.overflow()) {
+            if (!isValidName(it->region()))
+                return absl::InvalidArgumentError("overflow with an empty or too long region");
+            update.overflow.push_back(
+                    { it->region()->str(), count(it->received()), count(it->sent()) });
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::Status decodeRecord(const relaywire::OperatorRecord &record, OperatorRecords &records)
 {
     if (!isValidName(record.key()))
@@ -249,6 +273,20 @@
         message.instances.push_back(std::move(instance));
     }
     message.removed_instances = update.instances.removed;
+    for (const LocalShare &it : update.localShares) {
+        auto share = std::make_unique<relaywire::LocalShareT>();
+        share->home_region = it.homeRegion;
+        share->share = it.share;
+        message.local_shares.push_back(std::move(share));
+    }
+    message.placed = static_cast<std::uint32_t>(update.placed);
+    for (const RegionOverflow &it : update.overflow) {
+        auto overflow = std::make_unique<relaywire::RegionOverflowT>();
+        overflow->region = it.region;
+        overflow->received = static_cast<std::uint32_t>(it.received);
+        overflow->sent = static_cast<std::uint32_t>(it.sent);
+        message.overflow.push_back(std::move(overflow));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::EstateUpdate::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
@@ -267,6 +305,8 @@
     absl::Status status = decodeRecords(*message, update.operatorRecords);
     if (status.ok())
         status = decodeLists(*message, now, update);
+    if (status.ok())
+        status = decodeSpillover(*message, update);
     if (!status.ok())
         return status;
     return update;
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -53,6 +53,12 @@
     std::uint64_t targetsPosition = 0;
     TargetListDiff targets;
     InstanceListDiff instances;
+    /// The shares in force in the region, all of them.
+    std::vector<LocalShare> localShares;
+    /// Only in a frame to the reader, which contains nothing else: what the sender has counted since
+    /// its previous frame.
+    int placed = 0;
+    std::vector<RegionOverflow> overflow;
 
     auto operator<=>(const EstateUpdate &) const = default;
 };
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(restartedInstanceLooksForItsReaderAtOnce);
     CPPUNIT_TEST(onlyTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(updatesFromOtherLinksAreRejected);
+    CPPUNIT_TEST(overflowOfAFollowerDecidesTheShares);
     CPPUNIT_TEST_SUITE_END();
 
     struct FakeSource final : public IEstateSource
@@ -194,7 +195,10 @@
             { 42, true, { { "config", std::string(5000, 'x'), 40 }, { "drain/d", {}, 41 } } },
             77,
             { makeTargetList("t")->targets, { "old" } },
-            { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } }
+            { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } },
+            { { "home", 0.25 } },
+            9,
+            { { "far", 4, 5 } }
         };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeUpdate(encodeUpdate(update, now, m_compressor), later);
@@ -208,7 +212,7 @@
     {
         const TimePoint now = m_loop->clock.now();
         const std::string good = encodeUpdate(
-                { now, {}, 0, { makeTargetList("t")->targets, {} }, {} }, now, m_compressor);
+                { now, {}, 0, { makeTargetList("t")->targets, {} }, {}, {}, 0, {} }, now, m_compressor);
         CPPUNIT_ASSERT(!decodeUpdate("", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate(std::string_view(good).substr(0, good.size() / 2), now).ok());
@@ -554,9 +558,36 @@
     void updatesFromOtherLinksAreRejected()
     {
         makePair();
-        const std::string frame = encodeUpdate({ m_loop->clock.now(), {}, 0, {}, {} },
+        const std::string frame = encodeUpdate({ m_loop->clock.now(), {}, 0, {}, {}, {}, 0, {} },
                                                m_loop->clock.now(), m_compressor);
         CPPUNIT_ASSERT(!m_follower->coordinator.frameReceived(kLink + 1, frame).ok());
+        CPPUNIT_ASSERT(!m_reader->coordinator.frameReceived(kLink + 1, frame).ok());
+    }
+
+    // The dispatchers that get requests from a home region without room are rarely the instances
+    // that callers ask for addresses.
+    void overflowOfAFollowerDecidesTheShares()
+    {
+        makePair();
+        m_reader->reportTargets("t");
+        deliverFrames();
+        const auto share = [](const Instance &instance) {
+            const auto shares = instance.blackboard.localShares.read();
+            return shares && !shares->shares.empty() ? shares->shares.front().share : 0;
+        };
+        CPPUNIT_ASSERT(m_loop->runUntil([&] {
+            auto counts = makeRef<OverflowCounts>();
+            counts->placed = 10;
+            counts->regions = { { "home", 8, 0 } };
+            m_follower->blackboard.overflow.publish(IntrusivePtr<const OverflowCounts>(counts));
+            for (const auto &[link, frame] : m_follower->links.sent)
+                CPPUNIT_ASSERT(m_reader->coordinator.frameReceived(kLink, frame).ok());
+            m_follower->links.sent.clear();
+            m_reader->reportTargets("t");
+            deliverFrames();
+            return share(*m_follower) > 0.5;
+        }));
+        CPPUNIT_ASSERT_EQUAL(share(*m_reader), share(*m_follower));
     }
 };
 
--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -23,6 +23,8 @@
     void closeIdle(Duration maxIdle);
 
     const Address &address() const { return m_address; }
+    /// True if the pool holds no idle connection.
+    bool isEmpty() const { return !m_idle.front(); }
 
 private:
     static void drop(HttpClientConnection *connection);
