Follow the resources of an instance in its limit of caller connections

Change: the limit follows descriptors and memory (3,140 for 4,100 descriptors); at the limit a connection that is idle for 0.5 s gives way, and a caller beyond it, up to an eighth more, gets a refusal with Retry-After and the end of its connection.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,8 @@
 // nothing to cold targets, since the actual owner's requests would come on top.
 constexpr Duration kColdTargetHoldOff = std::chrono::seconds(4);
 constexpr std::size_t kMaxCachedAddressQueries = 1000;
+// Connections over the limit, as a fraction of it. They last for one refusal.
+constexpr std::size_t kOverLimitDivisor = 8;
 constexpr Duration kOverflowReportPeriod = std::chrono::milliseconds(250);
 constexpr Duration kIdleConnectionCheckPeriod = std::chrono::milliseconds(500);
 
@@ -61,6 +63,7 @@
 {
     HttpListenerLimits limits;
     limits.connections = m_settings.maxCallerConnections;
+    limits.overLimit = m_settings.maxCallerConnections / kOverLimitDivisor;
     m_listener.setLimits(limits);
     return m_listener.start(address);
 }
@@ -94,6 +97,11 @@
 
 void Gateway::handle(const IntrusivePtr<HttpExchange> &exchange)
 {
+    if (exchange->isOverLimit()) {
+        refuse(*exchange, httpstatus::kUnavailable, "too_many_connections",
+               m_context.protocol.readRequestMetadata(exchange->request()));
+        return;
+    }
     // During a shutdown there is no time to wait for an up-to-date list.
     if (!m_refresher || m_shutdown) {
         proxy(exchange);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
     ServicePoolSettings pool;
     /// Time between the stop signal and the forced termination of the process.
     Duration gracePeriod = std::chrono::seconds(6);
+    /// Connections of callers that are served; further callers are refused.
     std::size_t maxCallerConnections = 2000;
     /// Log lines for request decisions per second; lines above the limit are only counted.
     int maxLogLinesPerSecond = 300;
--- a/src/gateway/gatewayoptions.cpp
+++ b/src/gateway/gatewayoptions.cpp
@@ -41,10 +41,11 @@
         { "max-log-lines", "Decisions logged per second; further ones are only counted",
           "1 to 100000", "300", false,
           [&](Text it) { return parse(it, 1, 100'000, options.maxLogLinesPerSecond); } },
-        { "max-caller-connections", "Maximum number of open caller connections", "1 to 100000",
-          "2000", false,
+        { "max-caller-connections",
+          "Maximum number of caller connections; 0 derives it from descriptors and memory",
+          "0 to 100000", "0", false,
           [&](Text it) {
-              return parse<std::size_t>(it, 1, 100'000, options.maxCallerConnections);
+              return parse<std::size_t>(it, 0, 100'000, options.maxCallerConnections);
           } },
         { "address-life-ms", "How long callers may cache an address answer", "100 to 60000", "1500",
           false, [&](Text it) { return storeMilliseconds(it, 100, 60'000, options.addressTtl); } },
@@ -64,8 +65,28 @@
     };
 }
 
+// Descriptors that are kept for everything but callers: files, connections to targets, to other
+// instances and to the platform.
+constexpr std::size_t kReservedDescriptors = 512;
+// Part of the other descriptors that callers beyond the limit use until they are refused.
+constexpr std::size_t kRefusalDivisor = 8;
+// Memory of a caller's connection: its buffers here and unread bytes in the kernel.
+constexpr std::size_t kBytesPerConnection = 16UL << 10U;
+// Part of the memory that connections of callers may take.
+constexpr std::size_t kMemoryDivisor = 3;
+constexpr std::size_t kMinConnections = 64;
+
 } // namespace
 
+std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes)
+{
+    const std::size_t available =
+            descriptors > kReservedDescriptors ? descriptors - kReservedDescriptors : 0;
+    const std::size_t byDescriptors = available - available / kRefusalDivisor;
+    const std::size_t byMemory = memoryBytes / kMemoryDivisor / kBytesPerConnection;
+    return std::max(kMinConnections, std::min(byDescriptors, byMemory));
+}
+
 GatewayOptionsRequest readGatewayOptions(const std::string &program,
                                          const std::vector<std::string> &arguments,
                                          const EnvironmentLookup &environment)
--- a/src/gateway/gatewayoptions.h
+++ b/src/gateway/gatewayoptions.h
@@ -12,6 +12,7 @@
     ServicePoolSettings pool;
     /// How long callers may cache an address answer.
     Duration addressTtl{};
+    /// Zero derives the limit from the resources of the instance.
     std::size_t maxCallerConnections = 0;
     int maxLogLinesPerSecond = 0;
 
@@ -24,6 +25,11 @@
     GatewayOptions options;
 };
 
+/// Returns how many connections of callers an instance with these resources serves. The rest of the
+/// descriptors is left for connections to targets, other instances and the platform, and for callers
+/// that are refused. Thread-safe.
+std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes);
+
 /// Reads the options of the daemon \a program as readSettingValues() does. Never throws.
 /// Thread-safe if \a environment is.
 GatewayOptionsRequest readGatewayOptions(const std::string &program,
--- a/src/gateway/tests/gatewayoptionstest.cpp
+++ b/src/gateway/tests/gatewayoptionstest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(defaultsMatchTheDefaultsOfTheClasses);
     CPPUNIT_TEST(flagsTakePrecedenceOverTheEnvironment);
     CPPUNIT_TEST(errorsNameTheInvalidSetting);
+    CPPUNIT_TEST(callerConnectionsFollowTheResources);
     CPPUNIT_TEST_SUITE_END();
 
     static GatewayOptionsRequest read(std::vector<std::string> arguments,
@@ -64,6 +65,18 @@
         CPPUNIT_ASSERT(!read({ "--unknown", "1" }).faults.empty());
         CPPUNIT_ASSERT(!read({ "--help" }).information.empty());
     }
+
+    // Guards against a fixed limit: under the load of callers that repeat at once, an instance with
+    // 4,100 descriptors reset 7% of the requests at 2,000 connections.
+    void callerConnectionsFollowTheResources()
+    {
+        constexpr std::size_t kMegabyte = 1UL << 20U;
+        const std::size_t usual = callerConnectionLimit(4100, 160 * kMegabyte);
+        CPPUNIT_ASSERT(usual > 3000 && usual + usual / 8 < 4100 - 400);
+        CPPUNIT_ASSERT(callerConnectionLimit(8192, 512 * kMegabyte) > usual);
+        CPPUNIT_ASSERT(callerConnectionLimit(100'000, 16 * kMegabyte) * 16 * 1024 < 8 * kMegabyte);
+        CPPUNIT_ASSERT(callerConnectionLimit(300, kMegabyte) > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayOptionsTest);
--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -10,6 +10,11 @@
 
 // How often idle and half-sent requests are looked for; far below the limits they are held to.
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+// A connection that was used this recently does not count as idle: its next request may be under
+// way.
+constexpr Duration kMinIdleTime = std::chrono::milliseconds(500);
+// Sessions that are looked at for an idle one.
+constexpr int kMaxIdleCandidates = 64;
 // Pause after an accept that failed, as when no descriptor is free.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -25,6 +30,11 @@
     m_session->exchangeEnded(*this);
 }
 
+bool HttpExchange::isOverLimit() const
+{
+    return m_session->isOverLimit();
+}
+
 void HttpExchange::respond(const HttpResponse &response, bool closes)
 {
     m_callerGone = nullptr;
@@ -87,8 +97,9 @@
             m_acceptRetry = m_timers.after(kAcceptRetryDelay, [this] { accept(); });
             return;
         }
-        if (m_connectionCount < m_limits.connections) {
-            auto session = makeRef<HttpSession>(*this, std::move(socket));
+        const bool full = m_connectionCount >= m_limits.connections && !closeIdle();
+        if (m_connectionCount < m_limits.connections + m_limits.overLimit) {
+            auto session = makeRef<HttpSession>(*this, std::move(socket), full);
             m_sessions.pushBack(session.get());
             session.get()->addRef(); // the listener's reference, given up in HttpSession::close()
             session->start();
@@ -97,6 +108,19 @@
     });
 }
 
+bool HttpListener::closeIdle()
+{
+    const TimePoint now = m_clock.now();
+    int candidates = kMaxIdleCandidates;
+    for (HttpSession *it = m_sessions.front(); it && candidates-- > 0; it = m_sessions.next(it)) {
+        if (!it->isIdle(now, kMinIdleTime))
+            continue;
+        it->close();
+        return true;
+    }
+    return false;
+}
+
 void HttpListener::closeExpired()
 {
     const TimePoint now = m_clock.now();
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -26,6 +26,9 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     const HttpRequest &request() const { return m_request; }
+    /// True if the connection was accepted over the limit of the listener. The request should be
+    /// refused without work; the connection ends after the response.
+    bool isOverLimit() const;
 
     /// Sends the response; \a closes ends the connection after it. Does nothing when the caller has
     /// gone or a response was sent before.
@@ -49,8 +52,12 @@
     Duration request = std::chrono::seconds(10);
     /// Longest time without a request on an open connection.
     Duration idle = std::chrono::seconds(60);
-    /// Further connections are closed at once.
+    /// Connections that are served. At the limit, a new connection takes the place of one that has
+    /// been idle for long. If none is idle, the new one is accepted over the limit, so that its
+    /// request can be refused, and ends after it.
     std::size_t connections = 2000;
+    /// Connections over the limit; further ones are closed at once.
+    std::size_t overLimit = 250;
 
     auto operator<=>(const HttpListenerLimits &) const = default;
 };
@@ -90,6 +97,9 @@
     friend class HttpSession;
 
     void accept();
+    /// Closes a connection without a request, so that there is room for another one; returns false
+    /// if none is found.
+    bool closeIdle();
     void closeExpired();
 
     asio::io_context &m_context;
@@ -100,6 +110,7 @@
     TimerSubscription m_sweep;
     TimerSubscription m_acceptRetry;
     ITimerService &m_timers;
+    /// In order of use, the latest last.
     IntrusiveList<HttpSession, HttpListener> m_sessions;
     std::size_t m_connectionCount = 0;
     std::size_t m_pendingCount = 0;
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -16,11 +16,12 @@
 
 } // namespace
 
-HttpSession::HttpSession(HttpListener &listener, asio::ip::tcp::socket socket)
+HttpSession::HttpSession(HttpListener &listener, asio::ip::tcp::socket socket, bool overLimit)
     : m_listener(&listener)
     , m_socket(std::move(socket))
     , m_parser(HttpMessageParser::Kind::Request, listener.m_limits.message)
     , m_since(listener.m_clock.now())
+    , m_overLimit(overLimit)
 {
     ++m_listener->m_connectionCount;
 }
@@ -65,6 +66,18 @@
         close();
 }
 
+bool HttpSession::isIdle(TimePoint now, Duration span) const
+{
+    return !m_exchange && !m_writing && !m_parser.hasStarted() && m_input.empty()
+           && now - m_since >= span;
+}
+
+void HttpSession::moveToBack()
+{
+    unlink();
+    m_listener->m_sessions.pushBack(this);
+}
+
 void HttpSession::read()
 {
     if (m_reading || !m_listener || m_input.size() > kReadAheadBytes)
@@ -114,7 +127,8 @@
         reject(m_parser.state());
         return;
     }
-    m_lastRequest = !m_parser.isKeepAlive();
+    m_lastRequest = !m_parser.isKeepAlive() || m_overLimit;
+    moveToBack();
     const auto exchange =
             makeRef<HttpExchange>(IntrusivePtr<HttpSession>(this), m_parser.takeRequest());
     m_parser.restart();
@@ -162,6 +176,7 @@
                     return;
                 }
                 self->m_since = self->m_listener->m_clock.now();
+                self->moveToBack();
                 if (!self->m_input.empty())
                     self->parse();
                 self->read();
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -10,7 +10,8 @@
 class HttpSession final : public RefCounted, public ListNode<HttpListener>
 {
 public:
-    HttpSession(HttpListener &listener, asio::ip::tcp::socket socket);
+    /// \a overLimit ends the connection after its first response.
+    HttpSession(HttpListener &listener, asio::ip::tcp::socket socket, bool overLimit);
     HttpSession(const HttpSession &) = delete;
     HttpSession &operator=(const HttpSession &) = delete;
 
@@ -21,6 +22,9 @@
     void exchangeEnded(const HttpExchange &exchange);
     /// Ends the connection if it is idle, or its request incomplete, for too long.
     void closeIfExpired(TimePoint now);
+    /// True if the connection carries no request, nor a part of one, for at least \a span.
+    bool isIdle(TimePoint now, Duration span) const;
+    bool isOverLimit() const { return m_overLimit; }
 
 private:
     void read();
@@ -29,6 +33,8 @@
     void reject(HttpMessageParser::State state);
     void write(std::string bytes, bool closes);
     void callerGone();
+    /// Marks the session as the one used last.
+    void moveToBack();
 
     /// Null once the connection is closed.
     HttpListener *m_listener;
@@ -40,6 +46,7 @@
     /// The request that runs; it holds a reference to this session.
     HttpExchange *m_exchange = nullptr;
     TimePoint m_since;
+    const bool m_overLimit;
     bool m_reading = false;
     bool m_lastRequest = false;
     bool m_writing = false;
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(droppedRequestEndsItsConnection);
     CPPUNIT_TEST(badRequestsGetAnErrorAndTheListenerLives);
+    CPPUNIT_TEST(connectionsOverTheLimitGetAnAnswer);
+    CPPUNIT_TEST(idleConnectionGivesWayAtTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
     using Connection = IntrusivePtr<HttpClientConnection>;
@@ -207,6 +209,80 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(request, status, answered);
         }
     }
+
+    // Guards against connections that are reset although their request could be refused, which
+    // leaves the caller without a promise that it did not run.
+    void connectionsOverTheLimitGetAnAnswer()
+    {
+        std::vector<IntrusivePtr<HttpExchange>> held;
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            if (it->isOverLimit())
+                it->respond(jsonResponse(503, "{}"));
+            else
+                held.push_back(it);
+        });
+        HttpListenerLimits limits;
+        limits.connections = 2;
+        limits.overLimit = 1;
+        m_listener->setLimits(limits);
+        std::vector<Connection> connections;
+        std::vector<int> statuses;
+        int lost = 0;
+        const auto open = [&] {
+            connections.push_back(connect(address));
+            connections.back()->send(get("/"), false, nullptr,
+                                     [&](TransferResult result, const HttpResponse &it) {
+                                         if (result == TransferResult::Answered)
+                                             statuses.push_back(it.status);
+                                         else
+                                             ++lost;
+                                     });
+        };
+        open();
+        open();
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return held.size() == 2; }));
+        for (std::size_t i = 1; i <= 3; ++i) {
+            open();
+            CPPUNIT_ASSERT(m_loop.runUntil([&] { return statuses.size() == i; }));
+            CPPUNIT_ASSERT_EQUAL(503, statuses.back());
+            CPPUNIT_ASSERT(m_loop.runUntil([&] { return m_listener->connectionCount() == 2; }));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, lost);
+        held.clear();
+    }
+
+    void idleConnectionGivesWayAtTheLimit()
+    {
+        std::vector<IntrusivePtr<HttpExchange>> held;
+        bool holds = false;
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            CPPUNIT_ASSERT(!it->isOverLimit());
+            if (holds)
+                held.push_back(it);
+            else
+                it->respond(jsonResponse(200, "{}"));
+        });
+        HttpListenerLimits limits;
+        limits.connections = 2;
+        m_listener->setLimits(limits);
+        int answered = 0;
+        const auto count = [&](TransferResult, const HttpResponse &) { ++answered; };
+        const Connection idle = connect(address);
+        idle->send(get("/"), false, nullptr, count);
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return answered == 1; }));
+        const TimePoint end = m_loop.clock.now() + std::chrono::milliseconds(600);
+        m_loop.runUntil([&] { return m_loop.clock.now() >= end; });
+        holds = true;
+        const Connection busy = connect(address);
+        busy->send(get("/"), false, nullptr, count);
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return held.size() == 1; }));
+        holds = false;
+        const Connection next = connect(address);
+        next->send(get("/"), false, nullptr, count);
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return answered == 2 && !idle->isOpen(); }));
+        CPPUNIT_ASSERT(busy->isOpen());
+        held.clear();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
