Make one call to find an outage of the platform, and one to find its end

Hypothesis: one call tells whether the platform answers, renewals notice its return, and the update of the reader then saves the reads of followers.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -17,12 +17,13 @@
 // An instance is idle if it has served no request for this long.
 constexpr Duration kIdleAfter = seconds(3);
 // Delays after failed reads: exponential backoff with a jitter of 50 % either way, because all
-// instances fail at the same time when the platform does and each call is charged. Instances are
-// expected to be in contact with the platform again 3 s after it returns.
+// instances fail at the same time when the platform does and each call is charged. The renewals of
+// memberships notice the return of the platform, after which a read follows at once.
 constexpr Duration kInitialRetryDelay = milliseconds(300);
 constexpr Duration kInitialReaderRetryDelay = milliseconds(80);
-constexpr Duration kMaxRetryDelay = milliseconds(1600);
-constexpr int kMaxRetryDoublings = 3;
+constexpr Duration kMaxRetryDelay = seconds(5);
+constexpr Duration kMaxReaderRetryDelay = milliseconds(640);
+constexpr int kMaxRetryDoublings = 5;
 // A request waits at most this long for a read and then uses the last known list.
 constexpr Duration kMaxRequestWait = milliseconds(250);
 // Long-poll timeout of a follower that does not know any of the operator's records yet.
@@ -38,6 +39,10 @@
 // the list of instances after a few renewals of their membership.
 constexpr Duration kFirstInstanceReadDelay = milliseconds(900);
 
+// Time that followers leave to their reader when the platform answers again, as a fraction of the
+// time within which a change must be in force.
+constexpr int kReaderHeadStartDivisor = 4;
+
 constexpr char kReaderGroup[] = "estate-reader";
 
 } // namespace
@@ -165,8 +170,10 @@
     const TimePoint now = m_clock.now();
     if (m_failures > 0) {
         const int doublings = std::min(m_failures - 1, kMaxRetryDoublings);
-        const Duration first = readsForOthers() ? kInitialReaderRetryDelay : kInitialRetryDelay;
-        const Duration delay = std::min(first * (1 << doublings), kMaxRetryDelay);
+        const bool reads = readsForOthers();
+        const Duration first = reads ? kInitialReaderRetryDelay : kInitialRetryDelay;
+        const Duration delay = std::min(first * (1 << doublings),
+                                        reads ? kMaxReaderRetryDelay : kMaxRetryDelay);
         const double jitter = 0.5 + m_random.uniform();
         return m_lastReadAt.value_or(now) + fromSeconds(toSeconds(delay) * jitter) - now;
     }
@@ -195,10 +202,11 @@
 {
     m_lastReadAt = m_clock.now();
     m_source.readTargets();
-    if (m_instanceReadSkipped && !reliesOnReader()) {
-        m_instanceReadSkipped = false;
-        m_source.readInstances();
-    }
+}
+
+bool EstateCoordinator::hasReadSinceUpdates() const
+{
+    return m_lastSuccessAt && *m_lastSuccessAt >= updateDeadline();
 }
 
 bool EstateCoordinator::reliesOnReader() const
@@ -216,7 +224,10 @@
 {
     m_operatorPollTimer.reset();
     if (!reliesOnReader()) {
-        m_source.setOperatorPollTimeout(operatorPollTimeout());
+        // While the platform is unreachable for all, each instance makes one call to find out, and
+        // the others follow only once it has succeeded.
+        if (readsForOthers() || hasReadSinceUpdates())
+            m_source.setOperatorPollTimeout(operatorPollTimeout());
         return;
     }
     m_operatorPollTimer = m_timers.after(updateDeadline() - m_clock.now(),
@@ -234,8 +245,11 @@
     m_targetsUpToDate = upToDate;
     if (targets) {
         m_failures = 0;
+        m_lastSuccessAt = startedAt;
         m_asOf = std::max(m_asOf.value_or(startedAt), startedAt);
         publish(targets);
+        if (!reliesOnReader())
+            readWhatUpdatesBrought();
         if (readsForOthers())
             sendUpdates();
         suspectReaderIfSilent();
@@ -246,6 +260,15 @@
     scheduleRead();
 }
 
+void EstateCoordinator::readWhatUpdatesBrought()
+{
+    updateOperatorPollTimeout();
+    if (!m_instanceReadSkipped)
+        return;
+    m_instanceReadSkipped = false;
+    m_source.readInstances();
+}
+
 void EstateCoordinator::operatorRecordsRead()
 {
     if (readsForOthers())
@@ -285,8 +308,20 @@
 
 void EstateCoordinator::platformRegained()
 {
-    if (m_failures > 0)
+    if (m_failures == 0)
+        return;
+    if (readsForOthers() || !m_readerLink) {
         readNow();
+        return;
+    }
+    // The reader has probably regained it too; its update saves a read of each follower.
+    m_readTimer = m_timers.after(m_settings.maxPropagationDelay / kReaderHeadStartDivisor,
+                                 [this] {
+                                     if (m_failures > 0)
+                                         readNow();
+                                     else
+                                         scheduleRead();
+                                 });
 }
 
 void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -99,6 +99,8 @@
     bool reliesOnReader() const;
     void scheduleRead();
     void readNow();
+    /// True if this instance has read the platform itself since the reader's updates became late.
+    bool hasReadSinceUpdates() const;
     Duration readDelay() const;
     /// Readers read more often, so that their updates are still in time after one lost read.
     Duration readPeriod() const
@@ -118,6 +120,8 @@
     void updateOperatorPollTimeout();
     TimePoint updateDeadline() const;
     bool hasRecentOperatorRecords() const;
+    /// Reads what else comes with updates, now that the platform was reached without them.
+    void readWhatUpdatesBrought();
     void publish(const IntrusivePtr<const TargetList> &targets);
     void publish(const IntrusivePtr<const InstanceList> &instances);
     /// Publishes the state received from the reader, which read the list of targets up to
@@ -154,6 +158,8 @@
     /// Value of \c asOf in the reader's last update.
     std::optional<TimePoint> m_lastUpdateAsOf;
     std::optional<TimePoint> m_lastReadAt;
+    /// Start of the last read here that succeeded.
+    std::optional<TimePoint> m_lastSuccessAt;
     std::optional<TimePoint> m_lastUseAt;
     int m_failures = 0;
     /// The list of targets from the last read may be forwarded to followers.
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(instanceReadsForItsFollowers);
     CPPUNIT_TEST(updatesAreInTimeAfterALostRead);
     CPPUNIT_TEST(failedReadsBackOff);
+    CPPUNIT_TEST(followerMakesOneCallWhileThePlatformIsUnreachable);
+    CPPUNIT_TEST(followersLeaveTheFirstReadToTheirReader);
     CPPUNIT_TEST(restartedInstanceLooksForItsReaderAtOnce);
     CPPUNIT_TEST(onlyTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(updatesFromOtherLinksAreRejected);
@@ -42,7 +44,12 @@
     struct FakeSource final : public IEstateSource
     {
         void start(IEstateSourceListener &it) override { listener = &it; }
-        void readTargets() override { ++reads; }
+        void readTargets() override
+        {
+            ++reads;
+            if (onRead)
+                onRead();
+        }
         std::uint64_t targetsPosition() const override { return position; }
         void adoptTargets(const TargetList &it, std::uint64_t to) override
         {
@@ -60,6 +67,8 @@
         void applyOperatorRecords(const OperatorRecords &it) override { records.apply(it); }
 
         IEstateSourceListener *listener = nullptr;
+        /// Called for each read of the targets.
+        std::function<void()> onRead;
         int reads = 0;
         int instanceReads = 0;
         std::uint64_t position = 0;
@@ -119,6 +128,7 @@
     std::unique_ptr<LoopFixture> m_loop;
     SeededRandom m_random{ 1 };
     RecordCompressor m_compressor;
+    TimerSubscription m_answerTimer;
     std::unique_ptr<Instance> m_reader;
     std::unique_ptr<Instance> m_follower;
 
@@ -164,6 +174,16 @@
             it->source.records.apply({ 1, true, { { "config", "first", 0 } } });
     }
 
+    /// Lets the platform answer the reads of \a instance from now on, with a list that does not yet
+    /// allow to judge the reader.
+    void answerReads(Instance &instance)
+    {
+        instance.source.onRead = [this, &instance] {
+            m_answerTimer = m_loop->timers.after(
+                    0ms, [&instance] { instance.reportTargets("t", false); });
+        };
+    }
+
     void deliverFrames()
     {
         for (const auto &[link, frame] : m_reader->links.sent)
@@ -334,6 +354,7 @@
             deliverFrames();
         }
         m_follower->coordinator.markInUse();
+        answerReads(*m_follower);
         const TimePoint asOf = m_loop->clock.now();
         const int before = m_follower->source.reads;
         CPPUNIT_ASSERT(m_loop->runUntil([&] {
@@ -422,6 +443,7 @@
             deliverFrames();
         }
         CPPUNIT_ASSERT(!m_follower->source.pollTimeout);
+        answerReads(*m_follower);
         const TimePoint asOf = m_loop->clock.now();
         CPPUNIT_ASSERT(
                 m_loop->runUntil([&] { return m_follower->source.pollTimeout.has_value(); }));
@@ -537,11 +559,52 @@
             }
             return m_loop->clock.now() >= end;
         });
-        // Delays of 0.3, 0.6, 1.2, 1.6 and 1.6 s; jitter can halve each of them.
+        // Delays of 0.3, 0.6, 1.2, 2.4 and 4.8 s; jitter can halve each of them.
         CPPUNIT_ASSERT(known - before >= 3);
         CPPUNIT_ASSERT(known - before <= 9);
     }
 
+    // Guards against several calls of each instance at the start of an outage of the platform, when
+    // the updates of all readers are late.
+    void followerMakesOneCallWhileThePlatformIsUnreachable()
+    {
+        makePair();
+        m_reader->reportTargets("t");
+        deliverFrames();
+        m_follower->coordinator.instancesChanged();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 1; }));
+        m_follower->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
+        runFor(100ms);
+        CPPUNIT_ASSERT(!m_follower->source.pollTimeout);
+        CPPUNIT_ASSERT_EQUAL(0, m_follower->source.instanceReads);
+        m_follower->reportTargets("t");
+        CPPUNIT_ASSERT(m_follower->source.pollTimeout);
+        CPPUNIT_ASSERT_EQUAL(1, m_follower->source.instanceReads);
+    }
+
+    // Guards against a read of every instance when the platform answers again. A follower whose
+    // reader stays silent still reads within a fraction of the bound.
+    void followersLeaveTheFirstReadToTheirReader()
+    {
+        makePair();
+        m_reader->reportTargets("t");
+        deliverFrames();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 1; }));
+        m_follower->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
+        m_follower->coordinator.platformRegained();
+        CPPUNIT_ASSERT_EQUAL(1, m_follower->source.reads);
+        m_reader->reportTargets("t");
+        deliverFrames();
+        runFor(700ms);
+        CPPUNIT_ASSERT_EQUAL(1, m_follower->source.reads);
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 2; }));
+        m_follower->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
+        m_follower->coordinator.platformRegained();
+        const TimePoint regainedAt = m_loop->clock.now();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 3; }));
+        CPPUNIT_ASSERT(m_loop->clock.now() - regainedAt < 1s);
+    }
+
     // Guards against every instance reading the whole state when all of them start, although no
     // caller is served yet. Without updates they still read the platform themselves.
     void onlyTheReaderReadsWhenTheWholeSystemStarts()
@@ -549,6 +612,7 @@
         Instance instance(*m_loop, m_random, "10.0.0.9:80", true);
         CPPUNIT_ASSERT_EQUAL(0, instance.source.reads);
         CPPUNIT_ASSERT(!instance.source.pollTimeout);
+        answerReads(instance);
         const TimePoint start = m_loop->clock.now();
         CPPUNIT_ASSERT(m_loop->runUntil(
                 [&] { return instance.source.reads > 0 && instance.source.pollTimeout == 1s; }));
