Offer requests of a crowded queue to other dispatchers of the region

Cause: a dispatcher forwarded only what it was about to refuse, and most requests are refused after they have waited, when no other dispatcher can meet their objective either. Hypothesis: a request should be offered to others once it has waited, or is expected to wait, half of the time after which it is late. Change: such a request leaves the queue as crowded and comes back if nobody has room. Only dispatchers of the same region are asked then, since bytes between regions are paid by volume; a request that is about to be refused is offered to all.

--- a/src/gateway/dispatcherselector.cpp
+++ b/src/gateway/dispatcherselector.cpp
@@ -55,6 +55,7 @@
         if (const State *chosen = pick(candidates))
             return chosen->dispatcher;
     }
+    // A second refusal would be no news.
     if (request.reason != ForwardReason::HomeRegion || !request.triedInstances.empty())
         return std::nullopt;
     std::vector<const State *> allowed;
@@ -68,6 +69,9 @@
 
 bool DispatcherSelector::isAllowed(const State &it, const ForwardRequest &request) const
 {
+    if (request.reason == ForwardReason::Crowded
+        && it.dispatcher.proximity == Proximity::OtherRegion)
+        return false;
     return it.dispatcher.slots > 0
            && (request.homeRegions.empty() || contains(request.homeRegions, it.dispatcher.region))
            && !contains(request.triedInstances, it.dispatcher.instanceId);
--- a/src/gateway/dispatcherselector.h
+++ b/src/gateway/dispatcherselector.h
@@ -36,6 +36,7 @@
 
 /// Why a request is forwarded.
 enum class ForwardReason {
+    Crowded,    ///< it is likely to wait long here; not worth the cost of another region
     NoRoom,     ///< the targets of this instance cannot serve it in time
     HomeRegion, ///< it may only be served in regions other than this one
 };
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -38,7 +38,7 @@
 
 const char *refusalName(RefusalReason reason)
 {
-    constexpr std::array kNames{ "no_target", "queue_full", "waited_long" };
+    constexpr std::array kNames{ "no_target", "queue_full", "crowded", "waited_long" };
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
@@ -73,6 +73,7 @@
     m_queuedRequest.deadline =
             now + std::min(metadata.deadline.value_or(route.timeout), route.timeout);
     m_queuedRequest.homeRegions = route.homeRegions;
+    m_queuedRequest.mayLeave = !m_isForwarded;
 }
 
 void ProxiedRequest::start()
@@ -92,11 +93,11 @@
 bool ProxiedRequest::forward(ForwardReason reason)
 {
     // One hop only: instances whose configurations differ must not pass a request back and forth.
-    if (m_isForwarded || m_attempts > 0 || m_forwarder->wasSent())
+    if (m_isForwarded || m_attempts > 0)
         return false;
     const ForwardRequest wanted{ reason,
                                  m_route.homeRegions,
-                                 {},
+                                 m_forwarder->refusedBy(),
                                  m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
     const IntrusivePtr<ProxiedRequest> self(this);
     return m_forwarder->start(
@@ -106,6 +107,12 @@
             });
 }
 
+void ProxiedRequest::stay()
+{
+    m_queuedRequest.mayLeave = false;
+    enqueue();
+}
+
 void ProxiedRequest::forwardEnded(ForwardOutcome outcome, HttpResponse response,
                                   Duration retryAfter)
 {
@@ -122,7 +129,10 @@
         deliver(std::move(response));
         return;
     case ForwardOutcome::NotRun:
-        refuse("no_dispatcher", retryAfter);
+        if (m_mustLeaveRegion)
+            refuse("no_dispatcher", retryAfter);
+        else
+            stay();
         return;
     case ForwardOutcome::Unknown:
         m_executionState = ExecutionState::MayHaveRun;
@@ -325,6 +335,7 @@
     // A retry may use all the time up to the deadline, since a late answer is better than none.
     m_queuedRequest.objective = m_queuedRequest.deadline;
     m_queuedRequest.refuseAt = m_queuedRequest.deadline;
+    m_queuedRequest.mayLeave = false;
     enqueue();
     return true;
 }
@@ -333,7 +344,12 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
-    if (!isPending() && !forward(ForwardReason::NoRoom))
+    const bool crowded = refusal.reason == RefusalReason::Crowded;
+    if (isPending() || forward(crowded ? ForwardReason::Crowded : ForwardReason::NoRoom))
+        return;
+    if (crowded)
+        stay();
+    else
         refuse(refusalName(refusal.reason), refusal.retryAfter);
 }
 
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -49,6 +49,8 @@
     void forwardEnded(ForwardOutcome outcome, HttpResponse response, Duration retryAfter);
     /// Headers and body of the caller's request, without fields that concern one connection.
     HttpRequest endToEndRequest() const;
+    /// Queues the request again after other dispatchers had no room for it.
+    void stay();
     void countPlacement();
     void enqueue();
     void leaveQueue();
--- a/src/gateway/internal/requestforwarder.cpp
+++ b/src/gateway/internal/requestforwarder.cpp
@@ -19,8 +19,9 @@
 constexpr Duration kAnswerMargin = milliseconds(20);
 // Assumed if a refusal names no time.
 constexpr Duration kDefaultRetryAfter = milliseconds(200);
-// Dispatchers that a request is offered to; each refusal costs a round trip.
-constexpr std::size_t kMaxDispatchers = 2;
+// Dispatchers that a request is offered to in a row; each refusal costs a round trip.
+constexpr int kMaxOffers = 2;
+constexpr int kMaxTotalOffers = 4;
 
 Duration retryAfterOf(const HttpResponse &response)
 {
@@ -58,6 +59,7 @@
     m_request = std::move(request);
     m_wanted = wanted;
     m_deadline = deadline;
+    m_offersLeft = std::min(kMaxOffers, kMaxTotalOffers - static_cast<int>(refusedBy().size()));
     m_done = std::move(done);
     if (sendToNext())
         return true;
@@ -80,23 +82,24 @@
 {
     const TimePoint now = m_context.clock.now();
     const Duration remaining = m_deadline - now - kAnswerMargin;
-    if (remaining <= Duration::zero() || m_wanted.triedInstances.size() >= kMaxDispatchers)
+    if (remaining <= Duration::zero() || m_offersLeft <= 0)
         return false;
     const auto dispatcher = m_selector.select(m_wanted, now);
     if (!dispatcher)
         return false;
     m_dispatcher = *dispatcher;
     m_wanted.triedInstances.push_back(m_dispatcher.instanceId);
+    --m_offersLeft;
     m_sentAt = now;
     m_selector.recordSent(m_dispatcher.instanceId);
     LogFields fields("forwarded");
     fields.add("request", m_attemptId).add("dispatcher", m_dispatcher.instanceId);
-    fields.add("reason",
-               m_wanted.reason == ForwardReason::HomeRegion ? "home_region" : "no_room");
+    constexpr std::array kReasons{ "crowded", "no_room", "home_region" };
+    fields.add("reason", kReasons.at(static_cast<std::size_t>(m_wanted.reason)));
     m_context.log.write(fields);
     HttpRequest request = m_request;
     m_context.protocol.setDeadline(request.headers, remaining);
-    const bool overflow = m_wanted.reason == ForwardReason::NoRoom;
+    const bool overflow = m_wanted.reason != ForwardReason::HomeRegion;
     setHeader(request.headers, kForwardedHeader, overflow ? m_context.region : kForwardedToHome);
     m_connection = m_connections.acquire(m_dispatcher.address);
     const IntrusivePtr<RequestForwarder> self(this);
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -54,8 +54,8 @@
 
     /// True from start() until \a done is called or the request is cancelled.
     bool isActive() const { return static_cast<bool>(m_done); }
-    /// True if a dispatcher may have got the request.
-    bool wasSent() const { return m_connection != nullptr; }
+    /// Ids of the instances that refused the request.
+    const std::vector<std::string> &refusedBy() const { return m_wanted.triedInstances; }
 
 private:
     bool sendToNext();
@@ -72,6 +72,7 @@
     HttpRequest m_request;
     ForwardRequest m_wanted;
     TimePoint m_deadline;
+    int m_offersLeft = 0;
     TimePoint m_sentAt;
     Done m_done;
     RemoteDispatcher m_dispatcher;
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -227,7 +227,7 @@
         // While the platform is unreachable for all, each instance makes one call to find out, and
         // the others follow only once it has succeeded.
         if (readsForOthers() || hasReadSinceUpdates())
-            m_source.setOperatorPollTimeout(operatorPollTimeout());
+            m_source.setOperatorPollTimeout(readPeriod());
         return;
     }
     m_operatorPollTimer = m_timers.after(updateDeadline() - m_clock.now(),
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -107,11 +107,6 @@
     {
         return m_settings.maxPropagationDelay / (readsForOthers() ? 3 : 2);
     }
-    /// Readers poll twice in each read period, since an update is as old as the operator's records.
-    Duration operatorPollTimeout() const
-    {
-        return readsForOthers() ? readPeriod() / 2 : readPeriod();
-    }
     /// Age from which the last update counts as late.
     Duration updateTimeout() const { return m_settings.maxPropagationDelay * 3 / 4; }
     bool isRecent(Duration maxAge) const;
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -19,7 +19,7 @@
     /// longer exist, because contact with the platform was lost shortly before.
     virtual void targetsRead(const IntrusivePtr<const TargetList> &targets, TimePoint startedAt,
                              bool upToDate) = 0;
-    /// Called when a read has advanced the position in the operator's records.
+    /// Called when a read of the operator's records has succeeded, also if there were none.
     virtual void operatorRecordsRead() = 0;
     /// Called when the platform's list of instances has changed; readInstances() fetches it.
     virtual void instancesChanged() = 0;
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -28,6 +28,9 @@
 // Interval of decide() while requests wait for a faster target; free but slow targets are probed
 // again.
 constexpr Duration kQueueCheckPeriod = milliseconds(25);
+// A request that may leave does so once it has waited, or is expected to wait, for this part of the
+// time after which it cannot meet its objective.
+constexpr int kLeaveDivisor = 2;
 // A probe without an answer after this time no longer counts as in flight.
 constexpr Duration kProbeInFlightLimit = milliseconds(300);
 // Weight of a sample in the moving average of the slot hold time.
@@ -155,10 +158,16 @@
         return true;
     }
     const TimePoint latestStart = request.objective - m_serviceTime.baseline();
-    if (now + expectedWait(targets, m_requestsAhead, now) > latestStart) {
+    const Duration wait = expectedWait(targets, m_requestsAhead, now);
+    if (now + wait > latestStart) {
         refuse(request, RefusalReason::QueueFull, now, decisions);
         return true;
     }
+    const TimePoint leaveAt = request.arrival + (latestStart - request.arrival) / kLeaveDivisor;
+    if (request.mayLeave && now + wait > leaveAt) {
+        refuse(request, RefusalReason::Crowded, now, decisions);
+        return true;
+    }
     scheduleCheck(std::max(latestStart, now + kQueueCheckPeriod), decisions);
     return false;
 }
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -53,6 +53,9 @@
     TimePoint deadline;
     /// Regions that may serve the request; empty means all.
     std::vector<std::string> homeRegions;
+    /// Another dispatcher may serve the request. It leaves the queue early if it is likely to wait
+    /// for much of the time that it has.
+    bool mayLeave = false;
     /// Keys of the targets that already got the request and must not get it again.
     std::vector<std::string> triedTargets;
 
@@ -63,6 +66,7 @@
 enum class RefusalReason {
     NoTarget,   ///< no target is eligible
     QueueFull,  ///< after the expected wait it could not meet its objective
+    Crowded,    ///< it could still wait, but should be offered to another dispatcher first
     WaitedLong, ///< no suitable target became free in time
 };
 
