Send requests to the owner of the targets instead of using its slots unseen

Cause: an instance whose own targets are drained, cold or gone used those of other dispatchers directly, and neither counted the other's requests. Change: ServicePool reports that only targets of others may serve a request; it is forwarded to their dispatcher even if that was short of room, and refused if the dispatcher refuses. Targets are used directly only if no dispatcher can be reached. unreachableDispatcherIsNotRun expected a refusal where the target can now be reached without the dispatcher; it asserts one run and its answer instead.

--- a/src/gateway/dispatcherselector.cpp
+++ b/src/gateway/dispatcherselector.cpp
@@ -56,7 +56,7 @@
             return chosen->dispatcher;
     }
     // A second refusal would be no news.
-    if (request.reason != ForwardReason::HomeRegion || !request.triedInstances.empty())
+    if (!mustForward(request.reason) || !request.triedInstances.empty())
         return std::nullopt;
     std::vector<const State *> allowed;
     for (const State &it : m_states) {
@@ -82,7 +82,7 @@
 {
     if (now < it.heldUntil)
         return false;
-    if (request.reason == ForwardReason::HomeRegion)
+    if (mustForward(request.reason))
         return true;
     return it.inFlight < static_cast<int>(it.window) && now + it.roundTrip <= request.latestStart;
 }
--- a/src/gateway/dispatcherselector.h
+++ b/src/gateway/dispatcherselector.h
@@ -38,9 +38,17 @@
 enum class ForwardReason {
     Crowded,    ///< it is likely to wait long here; not worth the cost of another region
     NoRoom,     ///< the targets of this instance cannot serve it in time
+    NotOwner,   ///< this instance owns no target that may serve it
     HomeRegion, ///< it may only be served in regions other than this one
 };
 
+/// True if no target of this instance may serve the request, so that it is forwarded even to a
+/// dispatcher that was short of room.
+constexpr bool mustForward(ForwardReason reason)
+{
+    return reason == ForwardReason::NotOwner || reason == ForwardReason::HomeRegion;
+}
+
 /// A request that looks for a dispatcher.
 struct ForwardRequest
 {
@@ -75,8 +83,7 @@
     void setDispatchers(const std::vector<RemoteDispatcher> &dispatchers);
 
     /// Returns a dispatcher for the request, or null if none is likely to serve it in time. A
-    /// request that must leave this region gets one even if all are short of room, since no target
-    /// here may serve it.
+    /// request that must be forwarded gets one even if all are short of room.
     std::optional<RemoteDispatcher> select(const ForwardRequest &request, TimePoint now);
 
     /// Reports that a request was sent to an instance. Does nothing if it is not known, as the next
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -38,10 +38,26 @@
 
 const char *refusalName(RefusalReason reason)
 {
-    constexpr std::array kNames{ "no_target", "queue_full", "crowded", "waited_long" };
+    constexpr std::array kNames{ "no_target", "queue_full", "crowded", "not_owner",
+                                "waited_long" };
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
+ForwardReason forwardReasonFor(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::Crowded:
+        return ForwardReason::Crowded;
+    case RefusalReason::NotOwner:
+        return ForwardReason::NotOwner;
+    case RefusalReason::NoTarget:
+    case RefusalReason::QueueFull:
+    case RefusalReason::WaitedLong:
+        break;
+    }
+    return ForwardReason::NoRoom;
+}
+
 } // namespace
 
 ProxiedRequest::ProxiedRequest(GatewayContext &context, IntrusivePtr<HttpExchange> exchange,
@@ -100,6 +116,7 @@
                                  m_forwarder->refusedBy(),
                                  m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
     const IntrusivePtr<ProxiedRequest> self(this);
+    m_forwardReason = reason;
     return m_forwarder->start(
             endToEndRequest(), wanted, m_queuedRequest.deadline,
             [self](ForwardOutcome outcome, HttpResponse response, Duration retryAfter) {
@@ -129,11 +146,14 @@
         deliver(std::move(response));
         return;
     case ForwardOutcome::NotRun:
-        if (m_mustLeaveRegion)
+        if (mustForward(m_forwardReason))
             refuse("no_dispatcher", retryAfter);
         else
             stay();
         return;
+    case ForwardOutcome::NotSent:
+        stay();
+        return;
     case ForwardOutcome::Unknown:
         m_executionState = ExecutionState::MayHaveRun;
         fail(httpstatus::kBadGateway, "forward_failed");
@@ -344,10 +364,9 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
-    const bool crowded = refusal.reason == RefusalReason::Crowded;
-    if (isPending() || forward(crowded ? ForwardReason::Crowded : ForwardReason::NoRoom))
+    if (isPending() || forward(forwardReasonFor(refusal.reason)))
         return;
-    if (crowded)
+    if (refusal.reason == RefusalReason::Crowded || refusal.reason == RefusalReason::NotOwner)
         stay();
     else
         refuse(refusalName(refusal.reason), refusal.retryAfter);
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -96,6 +96,8 @@
     const bool m_isForwarded;
     /// The route's home regions do not include the region of this instance.
     const bool m_mustLeaveRegion;
+    /// Reason of the last forwarding.
+    ForwardReason m_forwardReason = ForwardReason::NoRoom;
     QueuedRequest m_queuedRequest;
     TimerSubscription m_deadlineTimer;
     std::vector<AttemptPtr> m_active;
--- a/src/gateway/internal/requestforwarder.cpp
+++ b/src/gateway/internal/requestforwarder.cpp
@@ -42,7 +42,7 @@
 std::string overflowOrigin(const HttpRequest &request)
 {
     const std::string *value = findHeader(request.headers, kForwardedHeader);
-    return value && *value != kForwardedToHome ? *value : std::string();
+    return value && *value != kForwardedToOwner ? *value : std::string();
 }
 
 RequestForwarder::RequestForwarder(GatewayContext &context, DispatcherSelector &selector,
@@ -94,13 +94,13 @@
     m_selector.recordSent(m_dispatcher.instanceId);
     LogFields fields("forwarded");
     fields.add("request", m_attemptId).add("dispatcher", m_dispatcher.instanceId);
-    constexpr std::array kReasons{ "crowded", "no_room", "home_region" };
+    constexpr std::array kReasons{ "crowded", "no_room", "not_owner", "home_region" };
     fields.add("reason", kReasons.at(static_cast<std::size_t>(m_wanted.reason)));
     m_context.log.write(fields);
     HttpRequest request = m_request;
     m_context.protocol.setDeadline(request.headers, remaining);
-    const bool overflow = m_wanted.reason != ForwardReason::HomeRegion;
-    setHeader(request.headers, kForwardedHeader, overflow ? m_context.region : kForwardedToHome);
+    const bool overflow = !mustForward(m_wanted.reason);
+    setHeader(request.headers, kForwardedHeader, overflow ? m_context.region : kForwardedToOwner);
     m_connection = m_connections.acquire(m_dispatcher.address);
     const IntrusivePtr<RequestForwarder> self(this);
     m_connection->send(serializeRequest(request), request.method == "HEAD", nullptr,
@@ -147,8 +147,10 @@
 void RequestForwarder::refused(ForwardResult result, Duration retryAfter)
 {
     recordResult(result, retryAfter);
-    if (!sendToNext())
-        finish(ForwardOutcome::NotRun, {}, retryAfter);
+    if (sendToNext())
+        return;
+    const bool sent = result == ForwardResult::Refused;
+    finish(sent ? ForwardOutcome::NotRun : ForwardOutcome::NotSent, {}, retryAfter);
 }
 
 void RequestForwarder::recordResult(ForwardResult result, Duration retryAfter)
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -9,9 +9,9 @@
 namespace lycheebay {
 
 /// Header field of a request that another instance forwarded; it is not forwarded again. Its value
-/// is kForwardedToHome, or the region of the instance if that had no room.
+/// is kForwardedToOwner, or the region of the instance if that had no room.
 constexpr char kForwardedHeader[] = "Lycheebay-Forwarded";
-constexpr char kForwardedToHome[] = "-";
+constexpr char kForwardedToOwner[] = "-";
 /// Header field of the response to a forwarded request that is not a target's response. Its value
 /// is kNotRunOutcome or kUnknownOutcome.
 constexpr char kForwardOutcomeHeader[] = "Lycheebay-Forward-Outcome";
@@ -28,7 +28,8 @@
 /// How the forwarding of a request ended.
 enum class ForwardOutcome {
     Response, ///< a target responded
-    NotRun,   ///< no target got the request
+    NotRun,   ///< dispatchers refused the request; no target got it
+    NotSent,  ///< no dispatcher could be reached
     Unknown,  ///< a target may have run the request
 };
 
@@ -37,7 +38,7 @@
 class RequestForwarder final : public RefCounted
 {
 public:
-    /// \a response is set if a target responded, \a retryAfter if the request did not run.
+    /// \a response is set if a target responded, \a retryAfter if the request was refused.
     using Done = std::function<void(ForwardOutcome outcome, HttpResponse response,
                                     Duration retryAfter)>;
 
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -131,6 +131,12 @@
         refuse(request, RefusalReason::NoTarget, now, decisions);
         return true;
     }
+    // Other dispatchers count the requests to their targets; taking slots unseen would overfill
+    // them.
+    if (request.mayLeave && targets.front()->target.proximity != Proximity::Owned) {
+        refuse(request, RefusalReason::NotOwner, now, decisions);
+        return true;
+    }
     if (now + m_serviceTime.baseline() / 2 >= request.deadline) {
         refuse(request, RefusalReason::WaitedLong, now, decisions);
         return true;
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -67,6 +67,7 @@
     NoTarget,   ///< no target is eligible
     QueueFull,  ///< after the expected wait it could not meet its objective
     Crowded,    ///< it could still wait, but should be offered to another dispatcher first
+    NotOwner,   ///< only targets of other dispatchers may serve it; it should be offered to them
     WaitedLong, ///< no suitable target became free in time
 };
 
