--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -265,26 +265,8 @@
 void ServicePool::refuse(const QueuedRequest &request, RefusalReason reason, TimePoint now,
                          PoolDecisions &decisions)
 {
-    const std::vector<TargetState *> targets = eligibleTargets(request, now);
-    const Duration wait = expectedWait(targets, m_queue.size(), now);
-    const bool leaves = reason == RefusalReason::Crowded || reason == RefusalReason::NotOwner;
-    const Duration delay = leaves ? wait : returnDelay(targets, wait, now);
-    decisions.refusals.push_back({ request.id, reason, retryAfter(delay), m_queue.size() });
-}
-
-Duration ServicePool::returnDelay(const std::vector<TargetState *> &targets, Duration wait,
-                                  TimePoint now)
-{
-    int slots = 0;
-    for (const TargetState *it : targets)
-        slots += concurrencyLimitOf(*it, now);
-    if (slots == 0)
-        return wait;
-    m_nextReturn = std::max(m_nextReturn, now + wait);
-    const Duration delay = m_nextReturn - now;
-    if (delay < kMaxRetryAfter)
-        m_nextReturn += m_slotHoldTime / slots;
-    return delay;
+    const Duration wait = expectedWait(eligibleTargets(request, now), m_queue.size(), now);
+    decisions.refusals.push_back({ request.id, reason, retryAfter(wait), m_queue.size() });
 }
 
 Duration ServicePool::retryAfter(Duration wait)
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -210,8 +210,6 @@
     Duration expectedWait(const std::vector<TargetState *> &targets, std::size_t ahead,
                           TimePoint now) const;
     Duration retryAfter(Duration wait);
-    /// Returns when a refused caller finds room if those refused before it come back as told.
-    Duration returnDelay(const std::vector<TargetState *> &targets, Duration wait, TimePoint now);
     void probeIdleTargets(TimePoint now, PoolDecisions &decisions);
     void scheduleCheck(TimePoint at, PoolDecisions &decisions) const;
 
@@ -224,8 +222,6 @@
     bool m_mayUseCold = false;
     std::vector<TargetState> m_targets;
     std::vector<QueuedRequest> m_queue;
-    /// When the last caller that was refused is expected to take a slot.
-    TimePoint m_nextReturn;
     /// Requests that the current decide() has left in the queue before the one being decided.
     std::size_t m_requestsAhead = 0;
 };
