--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -83,8 +83,8 @@
     auto operator<=>(const AddressCandidate &) const = default;
 };
 
-/// Returns the home regions to which a caller is usually sent although some routes of its host may be
-/// served in its own region; empty if it is in a home region, or if all requests must go there.
+/// Returns the home regions to which a caller is usually sent although some routes of its host may
+/// be served in its own region; empty if it is in a home region, or if all requests must go there.
 /// Thread-safe.
 std::vector<std::string> distantHomeRegions(const GatewayConfiguration &configuration,
                                             const AddressQuery &query);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,8 +34,8 @@
     , m_blackboard(blackboard)
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
-    , m_context{ context, timers, clock, random, protocol, metrics, m_log, m_overflow,
-                 m_settings.region }
+    , m_context{ context, timers, clock,      random,           protocol,
+                 metrics, m_log,  m_overflow, m_settings.region }
     , m_instanceConnections(context, timers, clock)
     , m_listener(context, timers, clock,
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
@@ -49,8 +49,8 @@
     m_blackboard.drainedDomains.subscribe([this](const auto &) { configureDispatchers(); });
     m_blackboard.instances.subscribe([this](const auto &) { configureDispatchers(); });
     m_coldTargetHoldOffTimer = timers.after(kColdTargetHoldOff, [this] { configureDispatchers(); });
-    m_idleConnectionTimer = timers.every(kIdleConnectionCheckPeriod,
-                                         [this] { m_instanceConnections.closeIdle(); });
+    m_idleConnectionTimer =
+            timers.every(kIdleConnectionCheckPeriod, [this] { m_instanceConnections.closeIdle(); });
     m_overflowTimer = timers.every(kOverflowReportPeriod, [this] {
         if (auto counts = m_overflow.take())
             m_blackboard.overflow.publish(std::move(counts));
@@ -210,10 +210,9 @@
     double share = 1;
     const std::vector<std::string> homes = distantHomeRegions(configuration, query);
     for (const std::string &home : homes) {
-        const auto it = std::find_if(shares->shares.begin(), shares->shares.end(),
-                                     [&](const LocalShare &entry) {
-                                         return entry.homeRegion == home;
-                                     });
+        const auto it =
+                std::find_if(shares->shares.begin(), shares->shares.end(),
+                             [&](const LocalShare &entry) { return entry.homeRegion == home; });
         share = std::min(share, it == shares->shares.end() ? 0 : it->share);
     }
     return !homes.empty() && m_context.random.uniform() < share;
--- a/src/gateway/gatewayoptions.h
+++ b/src/gateway/gatewayoptions.h
@@ -26,8 +26,8 @@
 };
 
 /// Returns how many connections of callers an instance with these resources serves. The rest of the
-/// descriptors is left for connections to targets, other instances and the platform, and for callers
-/// that are refused. Thread-safe.
+/// descriptors is left for connections to targets, other instances and the platform, and for
+/// callers that are refused. Thread-safe.
 std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes);
 
 /// Reads the options of the daemon \a program as readSettingValues() does. Never throws.
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -38,8 +38,7 @@
 
 const char *refusalName(RefusalReason reason)
 {
-    constexpr std::array kNames{ "no_target", "queue_full", "crowded", "not_owner",
-                                "waited_long" };
+    constexpr std::array kNames{ "no_target", "queue_full", "crowded", "not_owner", "waited_long" };
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
@@ -74,10 +73,10 @@
     , m_forwarder(makeRef<RequestForwarder>(context, dispatcher.dispatcherSelector(),
                                             instanceConnections, metadata.attemptId))
     , m_isForwarded(isForwarded(m_exchange->request()))
-    , m_mustLeaveRegion(!route.homeRegions.empty()
-                        && std::find(route.homeRegions.begin(), route.homeRegions.end(),
-                                     context.region)
-                                   == route.homeRegions.end())
+    , m_mustLeaveRegion(
+              !route.homeRegions.empty()
+              && std::find(route.homeRegions.begin(), route.homeRegions.end(), context.region)
+                         == route.homeRegions.end())
 {
     const TimePoint now = m_context.clock.now();
     m_queuedRequest.id = dispatcher.nextRequestId();
@@ -111,9 +110,7 @@
     // One hop only: instances whose configurations differ must not pass a request back and forth.
     if (m_isForwarded || m_attempts > 0)
         return false;
-    const ForwardRequest wanted{ reason,
-                                 m_route.homeRegions,
-                                 m_forwarder->refusedBy(),
+    const ForwardRequest wanted{ reason, m_route.homeRegions, m_forwarder->refusedBy(),
                                  m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
     const IntrusivePtr<ProxiedRequest> self(this);
     m_forwardReason = reason;
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -39,8 +39,8 @@
 {
 public:
     /// \a response is set if a target responded, \a retryAfter if the request was refused.
-    using Done = std::function<void(ForwardOutcome outcome, HttpResponse response,
-                                    Duration retryAfter)>;
+    using Done =
+            std::function<void(ForwardOutcome outcome, HttpResponse response, Duration retryAfter)>;
 
     /// Precondition: the references outlive the forwarder.
     RequestForwarder(GatewayContext &context, DispatcherSelector &selector,
--- a/src/gateway/regionspillover.cpp
+++ b/src/gateway/regionspillover.cpp
@@ -11,7 +11,8 @@
 
 // Period over which forwarded requests are counted.
 constexpr Duration kPeriod = milliseconds(500);
-// Fewer forwarded requests than these in a period are no shortage; a single slow target causes some.
+// Fewer forwarded requests than these in a period are no shortage; a single slow target causes
+// some.
 constexpr int kMinForwarded = 2;
 constexpr double kMinForwardedShare = 0.05;
 constexpr double kIncrease = 0.25;
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -172,8 +172,8 @@
         const int doublings = std::min(m_failures - 1, kMaxRetryDoublings);
         const bool reads = readsForOthers();
         const Duration first = reads ? kInitialReaderRetryDelay : kInitialRetryDelay;
-        const Duration delay = std::min(first * (1 << doublings),
-                                        reads ? kMaxReaderRetryDelay : kMaxRetryDelay);
+        const Duration delay =
+                std::min(first * (1 << doublings), reads ? kMaxReaderRetryDelay : kMaxRetryDelay);
         const double jitter = 0.5 + m_random.uniform();
         return m_lastReadAt.value_or(now) + fromSeconds(toSeconds(delay) * jitter) - now;
     }
@@ -315,13 +315,12 @@
         return;
     }
     // The reader has probably regained it too; its update saves a read of each follower.
-    m_readTimer = m_timers.after(m_settings.maxPropagationDelay / kReaderHeadStartDivisor,
-                                 [this] {
-                                     if (m_failures > 0)
-                                         readNow();
-                                     else
-                                         scheduleRead();
-                                 });
+    m_readTimer = m_timers.after(m_settings.maxPropagationDelay / kReaderHeadStartDivisor, [this] {
+        if (m_failures > 0)
+            readNow();
+        else
+            scheduleRead();
+    });
 }
 
 void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -55,8 +55,8 @@
     InstanceListDiff instances;
     /// The shares in force in the region, all of them.
     std::vector<LocalShare> localShares;
-    /// Only in a frame to the reader, which contains nothing else: what the sender has counted since
-    /// its previous frame.
+    /// Only in a frame to the reader, which contains nothing else: what the sender has counted
+    /// since its previous frame.
     int placed = 0;
     std::vector<RegionOverflow> overflow;
 
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -179,8 +179,8 @@
     void answerReads(Instance &instance)
     {
         instance.source.onRead = [this, &instance] {
-            m_answerTimer = m_loop->timers.after(
-                    0ms, [&instance] { instance.reportTargets("t", false); });
+            m_answerTimer =
+                    m_loop->timers.after(0ms, [&instance] { instance.reportTargets("t", false); });
         };
     }
 
@@ -231,8 +231,9 @@
     void malformedFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
-        const std::string good = encodeUpdate(
-                { now, {}, 0, { makeTargetList("t")->targets, {} }, {}, {}, 0, {} }, now, m_compressor);
+        const std::string good =
+                encodeUpdate({ now, {}, 0, { makeTargetList("t")->targets, {} }, {}, {}, 0, {} },
+                             now, m_compressor);
         CPPUNIT_ASSERT(!decodeUpdate("", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate(std::string_view(good).substr(0, good.size() / 2), now).ok());
--- a/src/gateway/tests/forwardingtest.cpp
+++ b/src/gateway/tests/forwardingtest.cpp
@@ -301,10 +301,9 @@
         auto caller = makeRef<HttpClientConnection>(m_loop->context, m_loop->timers, m_loop->clock,
                                                     Address{ "127.0.0.1", m_a->port() },
                                                     ClientConnectionTimeouts());
-        const HttpRequest request{ "POST",
-                                   "/order/1",
-                                   { { "Host", "h" }, { "Lycheebay-Forwarded", "-" } },
-                                   "body" };
+        const HttpRequest request{
+            "POST", "/order/1", { { "Host", "h" }, { "Lycheebay-Forwarded", "-" } }, "body"
+        };
         caller->send(serializeRequest(request), false, nullptr,
                      [answer](TransferResult result, HttpResponse response) {
                          *answer = { true, result, std::move(response) };
@@ -318,9 +317,8 @@
     void lostAnswerOfAnAtMostOnceRequestIsUnknown()
     {
         std::vector<IntrusivePtr<HttpExchange>> held;
-        HttpListener other(
-                m_loop->context, m_loop->timers, m_loop->clock,
-                [&](const IntrusivePtr<HttpExchange> &it) { held.push_back(it); });
+        HttpListener other(m_loop->context, m_loop->timers, m_loop->clock,
+                           [&](const IntrusivePtr<HttpExchange> &it) { held.push_back(it); });
         CPPUNIT_ASSERT(other.start({ "127.0.0.1", 0 }).ok());
         addTarget("b1");
         publishTargets();
--- a/src/http/httpmessageparser.h
+++ b/src/http/httpmessageparser.h
@@ -12,8 +12,8 @@
 /// Bounds of one HTTP message, in bytes.
 struct HttpMessageLimits
 {
-    /// Bound for the target, the names and the values of header fields, including trailers. Twice as
-    /// many bytes may come beside the body altogether: interim responses, separators and the
+    /// Bound for the target, the names and the values of header fields, including trailers. Twice
+    /// as many bytes may come beside the body altogether: interim responses, separators and the
     /// framing of chunks, for which more is allowed in proportion to the body.
     std::size_t headBytes = 64UL << 10U;
     std::size_t bodyBytes = 64UL << 20U;
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -122,9 +122,8 @@
                                               server.address(), ClientConnectionTimeouts());
         std::size_t length = 0;
         connection->send(serializeRequest({ "GET", "/", { { "Host", "test" } }, {} }), false,
-                         nullptr, [&](TransferResult, const HttpResponse &it) {
-                             length = it.body.size();
-                         });
+                         nullptr,
+                         [&](TransferResult, const HttpResponse &it) { length = it.body.size(); });
         CPPUNIT_ASSERT(m_loop.runUntil([&] { return length > 0; }));
         CPPUNIT_ASSERT_EQUAL(kChunks, length);
     }
--- a/tools/model/estatemodel.cpp
+++ b/tools/model/estatemodel.cpp
@@ -264,28 +264,26 @@
     for (const TargetRecord &it : m_targetList.targets) {
         const GatewayInstance *owner = ownership.ownerOf(it);
         const bool owned = m_policy.oneQueue || (owner && owner->id == dispatcher.instance.id);
-        const bool drained = std::find(m_drained.domains.begin(), m_drained.domains.end(),
-                                       it.failureDomain)
-                             != m_drained.domains.end();
-        targets.push_back(
-                { it, regionOf(it.failureDomain),
-                  owned ? Proximity::Owned
-                        : proximity(dispatcher.instance.failureDomain, it.failureDomain),
-                  drained });
+        const bool drained =
+                std::find(m_drained.domains.begin(), m_drained.domains.end(), it.failureDomain)
+                != m_drained.domains.end();
+        targets.push_back({ it, regionOf(it.failureDomain),
+                            owned ? Proximity::Owned
+                                  : proximity(dispatcher.instance.failureDomain, it.failureDomain),
+                            drained });
     }
     return targets;
 }
 
-std::vector<RemoteDispatcher>
-EstateModel::remoteDispatchers(const ModelDispatcher &dispatcher,
-                               const TargetOwnership &ownership) const
+std::vector<RemoteDispatcher> EstateModel::remoteDispatchers(const ModelDispatcher &dispatcher,
+                                                             const TargetOwnership &ownership) const
 {
     std::map<std::string, RemoteDispatcher> remote;
     for (const TargetRecord &it : m_targetList.targets) {
         const GatewayInstance *owner = ownership.ownerOf(it);
-        const bool drained = std::find(m_drained.domains.begin(), m_drained.domains.end(),
-                                       it.failureDomain)
-                             != m_drained.domains.end();
+        const bool drained =
+                std::find(m_drained.domains.begin(), m_drained.domains.end(), it.failureDomain)
+                != m_drained.domains.end();
         if (m_policy.oneQueue || drained || !owner || owner->id == dispatcher.instance.id)
             continue;
         RemoteDispatcher &entry = remote[owner->id];
@@ -295,6 +293,7 @@
         entry.slots += it.slots;
     }
     std::vector<RemoteDispatcher> list;
+    list.reserve(remote.size());
     for (const auto &[id, it] : remote)
         list.push_back(it);
     return list;
@@ -371,9 +370,9 @@
         AddressQuery query{ kHost, request.domain->name, request.domain->region };
         query.staysInRegion = staysInRegion(query);
         answer.addresses = sampleAddresses(addressCandidates(inputs(), query), m_random);
-        answer.validUntil = m_events.now()
-                            + m_scenario.answerLifetime
-                                      * static_cast<std::int64_t>(1 + 2 * m_random.below(2));
+        answer.validUntil =
+                m_events.now()
+                + m_scenario.answerLifetime * static_cast<std::int64_t>(1 + 2 * m_random.below(2));
     }
     if (answer.addresses.empty())
         return nullptr;
@@ -390,15 +389,15 @@
         callerAnswered(request, false, milliseconds(200));
         return;
     }
-    const Duration transit =
-            m_scenario.callerDelay
-            + delay(request->domain->name, dispatcher->instance.failureDomain);
+    const Duration transit = m_scenario.callerDelay
+                             + delay(request->domain->name, dispatcher->instance.failureDomain);
     m_events.after(transit, [this, request, dispatcher, transit] {
-        receive(*dispatcher, { request, {}, false, [this, request, transit](bool served, Duration retry) {
-                                  m_events.after(transit, [this, request, served, retry] {
-                                      callerAnswered(request, served, retry);
-                                  });
-                              } });
+        receive(*dispatcher,
+                { request, {}, false, [this, request, transit](bool served, Duration retry) {
+                     m_events.after(transit, [this, request, served, retry] {
+                         callerAnswered(request, served, retry);
+                     });
+                 } });
     });
 }
 
@@ -426,15 +425,16 @@
         ++result.refusedTwice;
         return;
     }
-    m_events.after(std::min(retryAfter, left / kRetryAfterDivisor), [this, request] { ask(request); });
+    m_events.after(std::min(retryAfter, left / kRetryAfterDivisor),
+                   [this, request] { ask(request); });
 }
 
 void EstateModel::receive(ModelDispatcher &dispatcher, PendingRequest pending)
 {
     const std::vector<std::string> &homes = pending.request->requestClass->homeRegions;
-    const bool mustLeave = !m_policy.oneQueue && !homes.empty()
-                           && std::find(homes.begin(), homes.end(), dispatcher.region)
-                                      == homes.end();
+    const bool mustLeave =
+            !m_policy.oneQueue && !homes.empty()
+            && std::find(homes.begin(), homes.end(), dispatcher.region) == homes.end();
     if (!mustLeave || pending.forwarded || !forward(dispatcher, pending, ForwardReason::HomeRegion))
         enqueue(dispatcher, std::move(pending));
 }
@@ -447,8 +447,7 @@
     queued.priority = requestClass.priority;
     queued.arrival = m_events.now();
     queued.objective = pending.request->firstAsked + requestClass.targetLatency;
-    queued.refuseAt =
-            std::max(queued.objective, m_events.now() + requestClass.targetLatency / 4);
+    queued.refuseAt = std::max(queued.objective, m_events.now() + requestClass.targetLatency / 4);
     queued.deadline = pending.request->firstAsked + requestClass.deadline;
     queued.homeRegions = requestClass.homeRegions;
     queued.mayLeave = m_policy.leavesEarly && !pending.forwarded && !pending.stays;
@@ -477,8 +476,7 @@
         ++m_result.crossed;
     dispatcher.selector.recordSent(id);
     const TimePoint sentAt = m_events.now();
-    const Duration transit =
-            delay(dispatcher.instance.failureDomain, other.instance.failureDomain);
+    const Duration transit = delay(dispatcher.instance.failureDomain, other.instance.failureDomain);
     const auto back = [this, &dispatcher, &other, pending, reason, id, sentAt,
                        transit](bool served, Duration retryAfter) {
         m_events.after(transit, [=, this, &dispatcher, &other] {
@@ -498,8 +496,7 @@
             pending.answer(served, retryAfter);
         });
     };
-    const std::string origin =
-            mustForward(reason) ? std::string() : dispatcher.region;
+    const std::string origin = mustForward(reason) ? std::string() : dispatcher.region;
     m_events.after(transit, [this, &other, request = pending.request, origin, back] {
         receive(other, { request, origin, true, back });
     });
@@ -569,8 +566,7 @@
     const Duration work = fromSeconds(toSeconds(pending.request->requestClass->work) * spread);
     startAtTarget(target, work, [this, &dispatcher, &target, key, sentAt, pending] {
         dispatcher.pool.updateLoad(key, loadOf(target), m_events.now());
-        dispatcher.pool.finish(key, AttemptResult::Served, m_events.now() - sentAt,
-                               m_events.now());
+        dispatcher.pool.finish(key, AttemptResult::Served, m_events.now() - sentAt, m_events.now());
         pending.answer(true, {});
         decide(dispatcher);
     });
@@ -579,7 +575,7 @@
 void EstateModel::startAtTarget(ModelTarget &target, Duration work, std::function<void()> done)
 {
     if (target.running >= m_scenario.slots) {
-        target.waiting.push_back([this, &target, work, done = std::move(done)] {
+        target.waiting.emplace_back([this, &target, work, done = std::move(done)] {
             startAtTarget(target, work, done);
         });
         return;
--- a/tools/model/main.cpp
+++ b/tools/model/main.cpp
@@ -40,7 +40,8 @@
     double most = 0;
     for (int i = 0; i < options.seeds; ++i) {
         const RunResult result =
-                play(scenario, policy, static_cast<std::uint64_t>(options.firstSeed + i));
+                play(scenario, policy,
+                     static_cast<std::uint64_t>(options.firstSeed) + static_cast<std::uint64_t>(i));
         const ClassResult sum = result.total();
         const double inTime = static_cast<double>(sum.inTime) / std::max(1, sum.asked);
         least = std::min(least, inTime);
@@ -83,15 +84,14 @@
 
 } // namespace
 
-/// Plays scenarios to the gateway's decisions and prints one JSON line for each scenario and policy.
+/// Plays scenarios to the gateway's decisions and prints one JSON line for each scenario and
+/// policy.
 int main(int argc, char **argv)
 {
     Options options;
-    const SettingsReading reading =
-            readSettingValues({ "lycheebay-model", "plays load to the gateway's decisions",
-                                entriesOf(options) },
-                              { argv, argv + argc },
-                              [](const char *name) { return std::getenv(name); });
+    const SettingsReading reading = readSettingValues(
+            { "lycheebay-model", "plays load to the gateway's decisions", entriesOf(options) },
+            { argv, argv + argc }, [](const char *name) { return std::getenv(name); });
     if (!reading.information.empty()) {
         std::cout << reading.information;
         return EXIT_SUCCESS;
--- a/tools/model/scenario.h
+++ b/tools/model/scenario.h
@@ -61,8 +61,8 @@
     /// Requests that a target runs at a time, and queues beyond that.
     int slots = 3;
     int targetQueue = 6;
-    /// Share of the time in which a target is slowed by its neighbours, by which factor, and for how
-    /// long at a time.
+    /// Share of the time in which a target is slowed by its neighbours, by which factor, and for
+    /// how long at a time.
     double slowShare = 0.25;
     double slowFactor = 4;
     Duration slowSpell = std::chrono::milliseconds(300);
@@ -74,8 +74,8 @@
     Duration answerLifetime = std::chrono::milliseconds(1500);
 };
 
-/// The estates that tests and reports play, by name. They differ in the number of regions, the place
-/// of home regions, the number of services' classes, the slots of targets and the delays.
+/// The estates that tests and reports play, by name. They differ in the number of regions, the
+/// place of home regions, the number of services' classes, the slots of targets and the delays.
 std::vector<Scenario> builtInScenarios();
 
 /// Returns the scenario with this name, or null.
--- a/tools/model/tests/estatemodeltest.cpp
+++ b/tools/model/tests/estatemodeltest.cpp
@@ -59,8 +59,7 @@
         const ClassResult before = playSeeds(scenario, "home-region");
         const ClassResult now = playSeeds(scenario, "adaptive");
         const ClassResult bound = playSeeds(scenario, "one-queue");
-        CPPUNIT_ASSERT_MESSAGE(scenario.name,
-                               inTime(now) >= (inTime(before) + inTime(bound)) / 2);
+        CPPUNIT_ASSERT_MESSAGE(scenario.name, inTime(now) >= (inTime(before) + inTime(bound)) / 2);
         CPPUNIT_ASSERT_MESSAGE(scenario.name, refused(now) <= refused(before) / 2);
     }
 
@@ -95,7 +94,8 @@
                        >= inTime(playSeeds(scenario, "home-region")));
     }
 
-    // Guards against bytes on the link between regions, which is paid by volume, without a shortage.
+    // Guards against bytes on the link between regions, which is paid by volume, without a
+    // shortage.
     void calmLoadStaysInTheHomeRegion()
     {
         const Scenario scenario = *findScenario("calm");
@@ -130,7 +130,8 @@
         CPPUNIT_ASSERT(inTime(playSeeds(scenario, "adaptive")) >= inTime(before) - 0.02);
     }
 
-    // Guards against two dispatchers that use the same slots without counting each other's requests.
+    // Guards against two dispatchers that use the same slots without counting each other's
+    // requests.
     void forwardingDoesNotOverfillTargets()
     {
         const Scenario scenario = *findScenario("drained-home");
