--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Runs measurements of a whole estate and writes one JSON file a measurement to BUILD/bench.
-# usage: bench.sh [--build DIR] [--bench overhead|tail|cost|domain|fault|idle|all] [--seed N]
+# usage: bench.sh [--build DIR] [--bench overhead|tail|cost|domain|fault|idle|model|all] [--seed N]
 #                 [--estate sofia|saddlery]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-ALL=(idle overhead cost domain fault tail)
+ALL=(idle overhead cost domain fault tail model)
 
 build=build bench=all estate=sofia seed=1
 while [ $# -gt 0 ]; do
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -2,6 +2,7 @@
 #include "base/seededrandom.h"
 #include "gateway/lycheebayprotocol.h"
 #include "http/httpserialization.h"
+#include "http/tests/endlessserver.h"
 #include "http/tests/loopfixture.h"
 
 #include <asio/post.hpp>
@@ -29,6 +30,10 @@
     CPPUNIT_TEST(routeTimeoutIsAnswered);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(callerDisconnectDoesNotCancelAtMostOnceRequest);
+    CPPUNIT_TEST(endlessAnswerOfAnAtMostOnceRequestIsUnknown);
+    CPPUNIT_TEST(endlessAnswersLeaveLookupsToOtherTargets);
+    CPPUNIT_TEST(drippedAnswerEndsWithTheRouteTimeout);
+    CPPUNIT_TEST(endlessProbeAnswerTakesTheTargetOut);
     CPPUNIT_TEST(shutdownCompletesRequestsThenExits);
     CPPUNIT_TEST(shutdownDoesNotWaitForTheTargetList);
     CPPUNIT_TEST_SUITE_END();
@@ -39,6 +44,8 @@
     struct Target
     {
         std::unique_ptr<HttpListener> listener;
+        /// Takes the place of the listener if set.
+        std::unique_ptr<EndlessServer> endless;
         Behaviour behaviour = Behaviour::Answer;
         Duration delay{};
         int runs = 0;
@@ -124,6 +131,19 @@
         return target;
     }
 
+    /// Adds a target that answers probes, and requests without end.
+    EndlessServer &addEndlessTarget(const std::string &start, const std::string &repeated,
+                                    Duration pause = Duration::zero())
+    {
+        m_targets.push_back(std::make_unique<Target>());
+        m_targets.back()->endless =
+                std::make_unique<EndlessServer>(*m_loop, start, repeated, pause);
+        m_targets.back()->endless->answer("GET /health",
+                                          serializeResponse(loadResponse(), HttpRequest{}, false));
+        publishTargets();
+        return *m_targets.back()->endless;
+    }
+
     void publishTargets()
     {
         auto list = makeRef<TargetList>();
@@ -131,7 +151,9 @@
             TargetRecord it;
             it.id = "t" + std::to_string(i);
             it.service = "s";
-            it.address = { "127.0.0.1", m_targets[i]->listener->port() };
+            const Target &target = *m_targets[i];
+            it.address = target.endless ? target.endless->address()
+                                        : Address{ "127.0.0.1", target.listener->port() };
             it.failureDomain = "d";
             it.slots = 3;
             list->targets.push_back(it);
@@ -227,6 +249,7 @@
         m_callers.clear();
         m_gateway.reset();
         for (const auto &it : m_targets) {
+            it->endless.reset();
             it->heldExchanges.clear();
             it->timers.clear();
         }
@@ -332,6 +355,44 @@
         CPPUNIT_ASSERT_EQUAL(0, target.cancelled);
     }
 
+    // Fails if bytes without end occupy the instance until the deadline, or if "not run" is said of
+    // a request that the target may have run.
+    void endlessAnswerOfAnAtMostOnceRequestIsUnknown()
+    {
+        publishConfiguration(15s);
+        const EndlessServer &endless = addEndlessTarget("", "HTTP/1.1 100 Continue\r\n\r\n");
+        const TimePoint start = m_loop->clock.now();
+        CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/order/a", "POST")).status);
+        CPPUNIT_ASSERT(m_loop->clock.now() - start < 10s);
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return endless.isClosedByPeer(); }));
+    }
+
+    void endlessAnswersLeaveLookupsToOtherTargets()
+    {
+        publishConfiguration(15s);
+        addEndlessTarget("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'));
+        Target &answers = addTarget(Behaviour::Answer);
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/a")).status);
+        CPPUNIT_ASSERT_EQUAL(6, answers.runs);
+    }
+
+    void drippedAnswerEndsWithTheRouteTimeout()
+    {
+        publishConfiguration(500ms);
+        addEndlessTarget("HTTP/1.1 200 OK\r\nX: ", "x", 20ms);
+        CPPUNIT_ASSERT_EQUAL(504, waitForResponse(sendRequest("/order/a", "POST")).status);
+    }
+
+    void endlessProbeAnswerTakesTheTargetOut()
+    {
+        publishConfiguration();
+        EndlessServer &endless = addEndlessTarget("", "HTTP/1.1 100 Continue\r\n\r\n");
+        endless.answer("GET /none", "-");
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/a", "POST")).status);
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return endless.isClosedByPeer(); }));
+    }
+
     void routeTimeoutIsAnswered()
     {
         publishConfiguration(500ms);
--- a/src/http/tests/endlessserver.h
+++ b/src/http/tests/endlessserver.h
@@ -30,6 +30,13 @@
     EndlessServer(const EndlessServer &) = delete;
     EndlessServer &operator=(const EndlessServer &) = delete;
 
+    /// Sends \a response to requests that begin with \a start. Precondition: no peer has connected.
+    void answer(std::string start, std::string response)
+    {
+        m_state->answeredStart = std::move(start);
+        m_state->answer = std::move(response);
+    }
+
     Address address() const { return { "127.0.0.1", m_state->acceptor.local_endpoint().port() }; }
     std::size_t sentBytes() const { return m_state->sentBytes; }
     /// True once a peer has closed a connection on which bytes were sent.
@@ -64,6 +71,8 @@
         const std::string start;
         const Duration pause;
         std::string burst;
+        std::string answeredStart;
+        std::string answer;
         std::size_t sentBytes = 0;
         bool closedByPeer = false;
         bool stopped = false;
@@ -86,17 +95,29 @@
         state->acceptor.async_accept([state](asio::error_code ec, asio::ip::tcp::socket socket) {
             if (ec || state->stopped)
                 return;
-            const auto connection = std::make_shared<Connection>(std::move(socket));
-            connection->socket.async_read_some(
-                    asio::buffer(connection->input),
-                    [state, connection](asio::error_code error, std::size_t) {
-                        if (!error)
-                            write(state, connection, state->start);
-                    });
+            read(state, std::make_shared<Connection>(std::move(socket)));
             accept(state);
         });
     }
 
+    static void read(const StatePtr &state, const ConnectionPtr &connection)
+    {
+        connection->socket.async_read_some(
+                asio::buffer(connection->input),
+                [state, connection](asio::error_code ec, std::size_t n) {
+                    if (ec || state->stopped)
+                        return;
+                    const std::string_view request(connection->input.data(), n);
+                    if (state->answer.empty() || !request.starts_with(state->answeredStart)) {
+                        write(state, connection, state->start);
+                        return;
+                    }
+                    asio::error_code ignored;
+                    asio::write(connection->socket, asio::buffer(state->answer), ignored);
+                    read(state, connection);
+                });
+    }
+
     static void write(const StatePtr &state, const ConnectionPtr &connection,
                       const std::string &text)
     {
