Split long files, and share the view of a dispatcher with the model

Change: src/gateway/dispatcherview for both; the forwarding of a request, the updates of the coordinator and the states of targets have files of their own.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "gateway/dispatcherview.h"
 #include "gateway/internal/proxiedrequest.h"
 #include "gateway/routetable.h"
 #include "http/httpserialization.h"
@@ -8,7 +9,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
 
 namespace lycheebay {
 
@@ -258,89 +258,22 @@
     const std::size_t instanceCount = instances ? instances->instances.size() : 1;
     m_metrics.setInstances(instanceCount);
     m_metrics.setTargets(targets ? targets->targets.size() : 0);
-    TargetOwnership ownership;
-    if (instances && targets) {
-        const DrainedDomains noDomains;
-        ownership = TargetOwnership(
-                { *configuration, *targets, noDomains, *instances, m_settings.regions });
-    }
+    const TargetList noTargets;
+    const DrainedDomains noDomains;
+    const InstanceList noInstances;
+    const auto drained = m_blackboard.drainedDomains.read();
+    const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
+                                 drained ? *drained : noDomains,
+                                 instances ? *instances : noInstances, m_settings.regions };
+    const TargetOwnership ownership(inputs);
+    const DispatcherIdentity self{ m_settings.instanceId, m_settings.failureDomain };
     for (const auto &[service, dispatcher] : m_dispatchers) {
         const ServiceProperties *known = findService(*configuration, service);
         const ServiceProperties properties = known ? *known : ServiceProperties();
-        dispatcher->configure(properties, poolTargets(service, ownership),
-                              remoteDispatchers(service, ownership), ownershipKnown);
+        dispatcher->configure(properties, poolTargets(inputs, ownership, service, self),
+                              remoteDispatchers(inputs, ownership, service, self), ownershipKnown);
         dispatcher->retryLimiter().setBudget(m_settings.retryBudget, instanceCount);
     }
 }
 
-std::vector<PoolTarget> Gateway::poolTargets(const std::string &service,
-                                             const TargetOwnership &ownership) const
-{
-    const auto targets = m_blackboard.targets.read();
-    std::vector<PoolTarget> selected;
-    if (!targets)
-        return selected;
-    for (const TargetRecord &it : targets->targets) {
-        if (it.service != service)
-            continue;
-        Proximity proximity = proximityOf(it.failureDomain);
-        const GatewayInstance *owner = ownership.ownerOf(it);
-        if (proximity == Proximity::SameDomain && owner && owner->id == m_settings.instanceId)
-            proximity = Proximity::Owned;
-        selected.push_back(
-                { it, regionOf(it.failureDomain), proximity, isDrained(it.failureDomain) });
-    }
-    return selected;
-}
-
-std::vector<RemoteDispatcher> Gateway::remoteDispatchers(const std::string &service,
-                                                         const TargetOwnership &ownership) const
-{
-    const auto targets = m_blackboard.targets.read();
-    std::map<std::string, RemoteDispatcher> dispatchers;
-    if (targets) {
-        for (const TargetRecord &it : targets->targets) {
-            const GatewayInstance *owner = ownership.ownerOf(it);
-            const bool usable = it.service == service && !it.leaving && owner
-                                && owner->id != m_settings.instanceId
-                                && !isDrained(it.failureDomain);
-            if (!usable)
-                continue;
-            RemoteDispatcher &dispatcher = dispatchers[owner->id];
-            dispatcher.instanceId = owner->id;
-            dispatcher.address = owner->address;
-            dispatcher.region = regionOf(it.failureDomain);
-            dispatcher.proximity = proximityOf(it.failureDomain);
-            dispatcher.slots += it.slots;
-        }
-    }
-    std::vector<RemoteDispatcher> selected;
-    selected.reserve(dispatchers.size());
-    for (auto &[id, dispatcher] : dispatchers)
-        selected.push_back(std::move(dispatcher));
-    return selected;
-}
-
-bool Gateway::isDrained(const std::string &failureDomain) const
-{
-    const auto drained = m_blackboard.drainedDomains.read();
-    return drained
-           && std::find(drained->domains.begin(), drained->domains.end(), failureDomain)
-                      != drained->domains.end();
-}
-
-std::string Gateway::regionOf(const std::string &failureDomain) const
-{
-    const auto it = m_settings.regions.find(failureDomain);
-    return it == m_settings.regions.end() ? std::string() : it->second;
-}
-
-Proximity Gateway::proximityOf(const std::string &failureDomain) const
-{
-    if (failureDomain == m_settings.failureDomain)
-        return Proximity::SameDomain;
-    return regionOf(failureDomain) == m_settings.region ? Proximity::SameRegion
-                                                        : Proximity::OtherRegion;
-}
-
 } // namespace lycheebay
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,17 +98,8 @@
     bool staysInRegion(const GatewayConfiguration &configuration, const AddressQuery &query);
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
     void configureDispatchers();
-    std::vector<PoolTarget> poolTargets(const std::string &service,
-                                        const TargetOwnership &ownership) const;
-    /// Returns the other instances that own usable targets of \a service.
-    std::vector<RemoteDispatcher> remoteDispatchers(const std::string &service,
-                                                    const TargetOwnership &ownership) const;
     void invalidateAddressCache() { m_addressCache.clear(); }
     ServiceDispatcher &dispatcherOf(const std::string &service, const Route &route);
-    Proximity proximityOf(const std::string &failureDomain) const;
-    bool isDrained(const std::string &failureDomain) const;
-    /// Returns the region of a failure domain; empty if it is not known.
-    std::string regionOf(const std::string &failureDomain) const;
 
     GatewaySettings m_settings;
     GatewayBlackboard &m_blackboard;
--- /dev/null
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -0,0 +1,75 @@
+#include "gateway/internal/proxiedrequest.h"
+#include "http/httpstatus.h"
+
+namespace lycheebay {
+
+bool ProxiedRequest::forward(ForwardReason reason)
+{
+    // One hop only: instances whose configurations differ must not pass a request back and forth.
+    if (m_isForwarded || m_attempts > 0)
+        return false;
+    const ForwardRequest wanted{ reason, m_route.homeRegions, m_forwarder->refusedBy(),
+                                 m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
+    const IntrusivePtr<ProxiedRequest> self(this);
+    m_forwardReason = reason;
+    return m_forwarder->start(
+            endToEndRequest(), wanted, m_queuedRequest.deadline,
+            [self](ForwardOutcome outcome, HttpResponse response, Duration retryAfter) {
+                self->forwardEnded(outcome, std::move(response), retryAfter);
+            });
+}
+
+void ProxiedRequest::stay()
+{
+    m_queuedRequest.mayLeave = false;
+    enqueue();
+}
+
+void ProxiedRequest::forwardEnded(ForwardOutcome outcome, HttpResponse response,
+                                  Duration retryAfter)
+{
+    if (m_ended)
+        return;
+    switch (outcome) {
+    case ForwardOutcome::Response:
+        if (response.status < httpstatus::kFirstError
+            && !m_context.protocol.readResponseMetadata(response).sealed) {
+            m_executionState = ExecutionState::MayHaveRun;
+            fail(httpstatus::kBadGateway, "unsealed_answer");
+            return;
+        }
+        deliver(std::move(response));
+        return;
+    case ForwardOutcome::NotRun:
+        if (mustForward(m_forwardReason))
+            refuse("no_dispatcher", retryAfter);
+        else
+            stay();
+        return;
+    case ForwardOutcome::NotSent:
+        stay();
+        return;
+    case ForwardOutcome::Unknown:
+        m_executionState = ExecutionState::MayHaveRun;
+        fail(httpstatus::kBadGateway, "forward_failed");
+        return;
+    }
+}
+
+void ProxiedRequest::countPlacement()
+{
+    m_context.overflow.countPlaced();
+    const std::string origin = overflowOrigin(m_exchange->request());
+    if (!origin.empty() && origin != m_context.region)
+        m_context.overflow.countReceived(origin);
+}
+
+void ProxiedRequest::abandonForwarding()
+{
+    if (!m_forwarder->isActive())
+        return;
+    m_executionState = ExecutionState::MayHaveRun;
+    m_forwarder->cancel();
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -0,0 +1,159 @@
+#include "base/log.h"
+#include "gateway/relay/estatecoordinator.h"
+
+#include <algorithm>
+
+namespace lycheebay {
+
+void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
+{
+    const auto current = m_blackboard.instances.read();
+    if (current && *current == *instances)
+        return;
+    LOG4CPLUS_INFO(m_logger, "event=instances_changed instances=" << instances->instances.size());
+    m_blackboard.instances.publish(instances);
+}
+
+void EstateCoordinator::publish(const IntrusivePtr<const TargetList> &targets)
+{
+    const auto current = m_blackboard.targets.read();
+    if (current && *current == *targets)
+        return;
+    const auto leaving = std::count_if(targets->targets.begin(), targets->targets.end(),
+                                       [](const TargetRecord &it) { return it.leaving; });
+    LOG4CPLUS_INFO(m_logger, "event=targets_changed targets=" << targets->targets.size()
+                                                              << " leaving=" << leaving);
+    m_blackboard.targets.publish(targets);
+}
+
+void EstateCoordinator::sendUpdates()
+{
+    for (const auto &[link, state] : m_followers)
+        sendUpdateTo(link);
+}
+
+void EstateCoordinator::sendUpdateTo(LinkId link)
+{
+    // A list that may contain removed targets could overwrite a better list at a follower.
+    if (!m_asOf || !m_targetsUpToDate || !hasRecentOperatorRecords())
+        return;
+    SyncedState &sent = m_followers[link];
+    EstateUpdate update;
+    // Followers rely on the update for the targets and the operator's records alike.
+    update.asOf = std::min(*m_asOf, *m_source.operatorRecordsReadAt());
+    update.operatorRecords = m_source.operatorRecordsSince(sent.operatorRecordsPosition);
+    update.targetsPosition = m_source.targetsPosition();
+    sent.operatorRecordsPosition = update.operatorRecords.position;
+    if (const auto targets = m_blackboard.targets.read()) {
+        update.targets = computeDiff(sent.targets, targets->targets);
+        sent.targets = targets->targets;
+    }
+    if (const auto instances = m_blackboard.instances.read()) {
+        update.instances = computeDiff(sent.instances, instances->instances);
+        sent.instances = instances->instances;
+    }
+    if (const auto shares = m_blackboard.localShares.read())
+        update.localShares = shares->shares;
+    m_links.send(link, encodeUpdate(update, m_clock.now(), m_compressor));
+}
+
+void EstateCoordinator::sendOverflowToReader(const OverflowCounts &counts)
+{
+    if (!m_readerLink)
+        return;
+    EstateUpdate update;
+    update.asOf = m_clock.now();
+    update.placed = counts.placed;
+    update.overflow = counts.regions;
+    m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
+}
+
+absl::Status EstateCoordinator::followerFrameReceived(std::string_view frame)
+{
+    const auto update = decodeUpdate(frame, m_clock.now());
+    if (!update.ok())
+        return update.status();
+    if (!update->targets.upserted.empty() || !update->instances.upserted.empty()
+        || !update->operatorRecords.records.empty())
+        return absl::InvalidArgumentError("update from an instance that is not the reader");
+    OverflowCounts counts;
+    counts.placed = update->placed;
+    counts.regions = update->overflow;
+    m_spillover.addCounts(counts);
+    return absl::OkStatus();
+}
+
+void EstateCoordinator::linkOpened(LinkId link, bool outbound, const Address &remote)
+{
+    if (outbound) {
+        m_readerLink = link;
+        LOG4CPLUS_INFO(m_logger,
+                       "event=dependency_regained dependency=reader address=" << remote.toString());
+        return;
+    }
+    const bool alreadyReading = readsForOthers();
+    m_followers[link] = SyncedState();
+    if (!alreadyReading) {
+        updateOperatorPollTimeout();
+        m_source.readTargets();
+    }
+    sendUpdateTo(link);
+}
+
+absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
+{
+    if (m_followers.contains(link))
+        return followerFrameReceived(frame);
+    if (m_readerLink != link)
+        return absl::InvalidArgumentError("update from an instance that is not the reader");
+    const auto update = decodeUpdate(frame, m_clock.now());
+    if (!update.ok())
+        return update.status();
+    m_source.applyOperatorRecords(update->operatorRecords);
+    applyDiff(m_received.targets, update->targets);
+    applyDiff(m_received.instances, update->instances);
+    // This instance has read a newer state itself; a later update will be newer than that.
+    if (m_asOf && update->asOf < *m_asOf)
+        return absl::OkStatus();
+    m_asOf = update->asOf;
+    m_lastUpdateAsOf = update->asOf;
+    m_failures = 0;
+    updateOperatorPollTimeout();
+    publishReceived(update->targetsPosition);
+    m_spillover.adoptShares(update->localShares);
+    releaseWaitingRequests();
+    return absl::OkStatus();
+}
+
+void EstateCoordinator::publishReceived(std::uint64_t targetsPosition)
+{
+    // Most updates change nothing; the lists are then not copied.
+    auto targets = m_blackboard.targets.read();
+    if (!targets || targets->targets != m_received.targets) {
+        auto list = makeRef<TargetList>();
+        list->targets = m_received.targets;
+        targets = IntrusivePtr<const TargetList>(list);
+    }
+    m_source.adoptTargets(*targets, targetsPosition);
+    publish(targets);
+    const auto instances = m_blackboard.instances.read();
+    if (instances && instances->instances == m_received.instances)
+        return;
+    auto list = makeRef<InstanceList>();
+    list->instances = m_received.instances;
+    publish(IntrusivePtr<const InstanceList>(list));
+}
+
+void EstateCoordinator::linkClosed(LinkId link)
+{
+    if (m_followers.erase(link) > 0 && !readsForOthers()) {
+        updateOperatorPollTimeout();
+        scheduleRead();
+    }
+    if (m_readerLink != link)
+        return;
+    m_readerLink.reset();
+    suspectReader("link_closed");
+}
+
+} // namespace lycheebay
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -3,7 +3,6 @@
 #include "base/seconds.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lycheebay {
 
@@ -33,17 +32,10 @@
 constexpr int kLeaveDivisor = 2;
 // A probe without an answer after this time no longer counts as in flight.
 constexpr Duration kProbeInFlightLimit = milliseconds(300);
-// Weight of a sample in the moving average of the slot hold time.
-constexpr double kHoldSampleWeight = 0.05;
 // Limits of Retry-After. The upper one keeps a retry within the deadlines of callers.
 constexpr Duration kMinRetryAfter = milliseconds(50);
 constexpr Duration kMaxRetryAfter = milliseconds(1500);
 
-bool contains(const std::vector<std::string> &list, const std::string &value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 } // namespace
 
 std::string targetKey(const TargetRecord &record)
@@ -293,73 +285,12 @@
                         : fromSeconds(toSeconds(m_slotHoldTime) * blocked / slots);
 }
 
-std::vector<ServicePool::TargetState *> ServicePool::eligibleTargets(const QueuedRequest &request,
-                                                                     TimePoint now)
-{
-    for (const bool allowEjected : { false, true }) {
-        for (const Proximity proximity : { Proximity::Owned, Proximity::SameDomain,
-                                           Proximity::SameRegion, Proximity::OtherRegion }) {
-            std::vector<TargetState *> targets;
-            for (TargetState &it : m_targets) {
-                if (it.target.proximity == proximity && isEligible(it, request, now, allowEjected))
-                    targets.push_back(&it);
-            }
-            if (!targets.empty())
-                return targets;
-        }
-    }
-    return {};
-}
-
-bool ServicePool::isEligible(const TargetState &it, const QueuedRequest &request, TimePoint now,
-                             bool allowEjected) const
-{
-    if (it.target.record.leaving || it.target.drained || contains(request.triedTargets, it.key))
-        return false;
-    if (!request.homeRegions.empty() && !contains(request.homeRegions, it.target.region))
-        return false;
-    // A target that has not responded yet may be cold; it is probed before it gets a request.
-    if (!it.noResponseYet && isCold(it, now) && !mayUseCold(it))
-        return false;
-    // An unresponsive target is not used even if all others are ejected.
-    return allowEjected ? !it.health.isUnresponsive() : !it.health.isEjected(now);
-}
-
-bool ServicePool::isCold(const TargetState &it, TimePoint now) const
-{
-    return it.noResponseYet || now < it.coldUntil;
-}
-
-bool ServicePool::mayUseCold(const TargetState &it) const
-{
-    return m_mayUseCold && it.target.proximity == Proximity::Owned;
-}
-
-int ServicePool::concurrencyLimitOf(const TargetState &it, TimePoint now) const
-{
-    if (isCold(it, now))
-        return 1;
-    return std::max(1, static_cast<int>(std::floor(it.target.record.slots * m_settings.slotShare)));
-}
-
-int ServicePool::freeSlots(const TargetState &it, TimePoint now) const
-{
-    if (isCold(it, now) && (!mayUseCold(it) || now < it.nextColdRequest))
-        return 0;
-    return concurrencyLimitOf(it, now) - it.inFlight - otherInFlightOf(it, now);
-}
-
 int ServicePool::otherInFlightOf(const TargetState &it, TimePoint now) const
 {
     const bool known = it.loadReportedAt && now - *it.loadReportedAt <= kLoadReportLifetime;
     return known ? it.otherInFlight : 0;
 }
 
-bool ServicePool::isFresh(const TargetState &it, TimePoint now) const
-{
-    return it.loadReportedAt && now - *it.loadReportedAt <= m_settings.loadFreshness;
-}
-
 double ServicePool::slowdownOf(const TargetState &it, TimePoint now) const
 {
     const bool known = it.loadReportedAt && now - *it.loadReportedAt <= kLoadReportLifetime;
@@ -390,65 +321,4 @@
         decisions.nextCheck = at;
 }
 
-void ServicePool::updateLoad(const std::string &key, const TargetLoad &load, TimePoint now)
-{
-    TargetState *it = find(key);
-    if (!it)
-        return;
-    it->loadReportedAt = now;
-    it->slowdown = load.slowdown;
-    it->otherInFlight = std::max(0, load.running + load.waiting - it->inFlight);
-    it->noResponseYet = false;
-}
-
-void ServicePool::updateColdTime(const std::string &key, Duration left, TimePoint now)
-{
-    TargetState *it = find(key);
-    if (!it)
-        return;
-    it->noResponseYet = false;
-    it->coldUntil = now + left;
-}
-
-void ServicePool::recordProbe(const std::string &key, bool answered, TimePoint now)
-{
-    TargetState *it = find(key);
-    if (!it)
-        return;
-    it->probeSentAt.reset();
-    it->health.recordProbe(answered, now);
-}
-
-void ServicePool::finish(const std::string &key, AttemptResult result,
-                         std::optional<Duration> elapsed, TimePoint now)
-{
-    TargetState *it = find(key);
-    if (!it)
-        return;
-    it->inFlight = std::max(0, it->inFlight - 1);
-    it->health.recordAttempt(result, now);
-    if (!elapsed)
-        return;
-    const double sample = toSeconds(*elapsed);
-    const double held = toSeconds(m_slotHoldTime);
-    m_slotHoldTime = fromSeconds(held + kHoldSampleWeight * (sample - held));
-    if (result == AttemptResult::Served && !isCold(*it, now))
-        m_serviceTime.addSample(*elapsed, it->slowdown);
-}
-
-std::size_t ServicePool::inFlight() const
-{
-    std::size_t n = 0;
-    for (const TargetState &it : m_targets)
-        n += static_cast<std::size_t>(it.inFlight);
-    return n;
-}
-
-ServicePool::TargetState *ServicePool::find(const std::string &key)
-{
-    const auto it = std::find_if(m_targets.begin(), m_targets.end(),
-                                 [&](const TargetState &state) { return state.key == key; });
-    return it == m_targets.end() ? nullptr : &*it;
-}
-
 } // namespace lycheebay
--- a/tools/model/estatemodel.cpp
+++ b/tools/model/estatemodel.cpp
@@ -3,7 +3,7 @@
 #include "base/seconds.h"
 #include "base/seededrandom.h"
 #include "gateway/dispatcherselector.h"
-#include "gateway/dispatchplan.h"
+#include "gateway/dispatcherview.h"
 #include "gateway/regionspillover.h"
 #include "gateway/servicepool.h"
 
@@ -22,6 +22,8 @@
 constexpr char kHost[] = "host";
 constexpr char kService[] = "service";
 constexpr char kOneQueue[] = "one-queue";
+// Targets of the model are warm.
+constexpr double kColdRequestsPerSecond = 100;
 // Groups of callers in a failure domain that share an address answer.
 constexpr std::size_t kCallerGroups = 40;
 constexpr Duration kSpilloverPeriod = milliseconds(250);
@@ -137,20 +139,11 @@
 
     void makeEstate();
     void configureDispatchers();
-    std::vector<PoolTarget> poolTargets(const ModelDispatcher &dispatcher,
-                                        const TargetOwnership &ownership) const;
-    std::vector<RemoteDispatcher> remoteDispatchers(const ModelDispatcher &dispatcher,
-                                                    const TargetOwnership &ownership) const;
     DispatchInputs inputs() const
     {
         return { m_configuration, m_targetList, m_drained, m_instances, m_regions };
     }
-    Proximity proximity(const std::string &from, const std::string &to) const;
     Duration delay(const std::string &fromDomain, const std::string &toDomain) const;
-    const std::string &regionOf(const std::string &domain) const
-    {
-        return m_regions.find(domain)->second;
-    }
 
     void scheduleArrival(const Domain &domain);
     void ask(const RequestPtr &request);
@@ -246,72 +239,34 @@
             break;
         auto &dispatcher = m_dispatchers[m_policy.oneQueue ? kOneQueue : it.id];
         if (!dispatcher) {
-            dispatcher = std::make_unique<ModelDispatcher>(it, regionOf(it.failureDomain), latency,
-                                                           m_random);
+            dispatcher = std::make_unique<ModelDispatcher>(
+                    it, regionOf(m_regions, it.failureDomain), latency, m_random);
         }
     }
     for (const auto &[id, dispatcher] : m_dispatchers) {
-        dispatcher->pool.setTargets(poolTargets(*dispatcher, ownership));
-        dispatcher->pool.setColdPolicy(100, true);
-        dispatcher->selector.setDispatchers(remoteDispatchers(*dispatcher, ownership));
-    }
-}
-
-std::vector<PoolTarget> EstateModel::poolTargets(const ModelDispatcher &dispatcher,
-                                                 const TargetOwnership &ownership) const
-{
-    std::vector<PoolTarget> targets;
-    for (const TargetRecord &it : m_targetList.targets) {
-        const GatewayInstance *owner = ownership.ownerOf(it);
-        const bool owned = m_policy.oneQueue || (owner && owner->id == dispatcher.instance.id);
-        const bool drained =
-                std::find(m_drained.domains.begin(), m_drained.domains.end(), it.failureDomain)
-                != m_drained.domains.end();
-        targets.push_back({ it, regionOf(it.failureDomain),
-                            owned ? Proximity::Owned
-                                  : proximity(dispatcher.instance.failureDomain, it.failureDomain),
-                            drained });
-    }
-    return targets;
-}
-
-std::vector<RemoteDispatcher> EstateModel::remoteDispatchers(const ModelDispatcher &dispatcher,
-                                                             const TargetOwnership &ownership) const
-{
-    std::map<std::string, RemoteDispatcher> remote;
-    for (const TargetRecord &it : m_targetList.targets) {
-        const GatewayInstance *owner = ownership.ownerOf(it);
-        const bool drained =
-                std::find(m_drained.domains.begin(), m_drained.domains.end(), it.failureDomain)
-                != m_drained.domains.end();
-        if (m_policy.oneQueue || drained || !owner || owner->id == dispatcher.instance.id)
-            continue;
-        RemoteDispatcher &entry = remote[owner->id];
-        entry.instanceId = owner->id;
-        entry.region = regionOf(it.failureDomain);
-        entry.proximity = proximity(dispatcher.instance.failureDomain, it.failureDomain);
-        entry.slots += it.slots;
+        const DispatcherIdentity self{ dispatcher->instance.id,
+                                       dispatcher->instance.failureDomain };
+        std::vector<PoolTarget> targets = poolTargets(inputs(), ownership, kService, self);
+        for (PoolTarget &it : targets) {
+            if (m_policy.oneQueue)
+                it.proximity = Proximity::Owned;
+        }
+        dispatcher->pool.setTargets(targets);
+        dispatcher->pool.setColdPolicy(kColdRequestsPerSecond, true);
+        if (!m_policy.oneQueue) {
+            dispatcher->selector.setDispatchers(
+                    remoteDispatchers(inputs(), ownership, kService, self));
+        }
     }
-    std::vector<RemoteDispatcher> list;
-    list.reserve(remote.size());
-    for (const auto &[id, it] : remote)
-        list.push_back(it);
-    return list;
-}
-
-Proximity EstateModel::proximity(const std::string &from, const std::string &to) const
-{
-    if (from == to)
-        return Proximity::SameDomain;
-    return regionOf(from) == regionOf(to) ? Proximity::SameRegion : Proximity::OtherRegion;
 }
 
 Duration EstateModel::delay(const std::string &fromDomain, const std::string &toDomain) const
 {
     if (m_policy.oneQueue || fromDomain == toDomain)
         return Duration::zero();
-    return regionOf(fromDomain) == regionOf(toDomain) ? m_scenario.domainDelay
-                                                      : m_scenario.regionDelay;
+    return regionOf(m_regions, fromDomain) == regionOf(m_regions, toDomain)
+                   ? m_scenario.domainDelay
+                   : m_scenario.regionDelay;
 }
 
 void EstateModel::scheduleArrival(const Domain &domain)
