Notice the return of the store within a second

Its renewals failed every 1.25 s, a follower then left half a second to its reader, and a read that failed meanwhile waited up to 7.5 s (back-off of 5 s with jitter).

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -21,7 +21,7 @@
 // memberships notice the return of the platform, after which a read follows at once.
 constexpr Duration kInitialRetryDelay = milliseconds(300);
 constexpr Duration kInitialReaderRetryDelay = milliseconds(80);
-constexpr Duration kMaxRetryDelay = seconds(5);
+constexpr Duration kMaxRetryDelay = milliseconds(2400);
 constexpr Duration kMaxReaderRetryDelay = milliseconds(640);
 constexpr int kMaxRetryDoublings = 5;
 // A request waits at most this long for a read and then uses the last known list.
@@ -41,7 +41,7 @@
 
 // Time that followers leave to their reader when the platform answers again, as a fraction of the
 // time within which a change must be in force.
-constexpr int kReaderHeadStartDivisor = 4;
+constexpr int kReaderHeadStartDivisor = 8;
 
 constexpr char kReaderGroup[] = "estate-reader";
 
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -560,7 +560,7 @@
             }
             return m_loop->clock.now() >= end;
         });
-        // Delays of 0.3, 0.6, 1.2, 2.4 and 4.8 s; jitter can halve each of them.
+        // Delays of 0.3, 0.6, 1.2, 2.4 and 2.4 s; jitter can halve each of them.
         CPPUNIT_ASSERT(known - before >= 3);
         CPPUNIT_ASSERT(known - before <= 9);
     }
