Notice a caller that leaves while its request waits for the target list

A request that waits for an up-to-date list has no callback for its caller yet; the close was forgotten, and the request was placed afterwards. Change: the exchange remembers that its caller has gone, and the gateway drops it then. Measured: callerThatLeavesBeforeTheTargetListIsKnownIsNoticed had two runs at the target before, one after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,9 @@
 
 void Gateway::proxy(const IntrusivePtr<HttpExchange> &exchange)
 {
+    // The caller may have left while the request waited for an up-to-date list of targets.
+    if (exchange->isCallerGone())
+        return;
     const HttpRequest &request = exchange->request();
     const RequestMetadata metadata = m_context.protocol.readRequestMetadata(request);
     const auto configuration = m_blackboard.configuration.read();
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(routeTimeoutIsAnswered);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(callerDisconnectDoesNotCancelAtMostOnceRequest);
+    CPPUNIT_TEST(callerThatLeavesBeforeTheTargetListIsKnownIsNoticed);
     CPPUNIT_TEST(endlessAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(endlessAnswersLeaveLookupsToOtherTargets);
     CPPUNIT_TEST(drippedAnswerEndsWithTheRouteTimeout);
@@ -355,6 +356,33 @@
         CPPUNIT_ASSERT_EQUAL(0, target.cancelled);
     }
 
+    // Fails if a request is sent to a target although its caller left while it waited for the list
+    // of targets, as after a pause of the process (GONE, fresh-b6a1 of 125 instances).
+    void callerThatLeavesBeforeTheTargetListIsKnownIsNoticed()
+    {
+        struct HeldRequests final : public ITargetListRefresher
+        {
+            void whenUpToDate(std::function<void()> done) override { held.push_back(done); }
+            void markInUse() override {}
+            std::vector<std::function<void()>> held;
+        };
+        HeldRequests refresher;
+        m_gateway->setTargetListRefresher(&refresher);
+        publishConfiguration();
+        Target &target = addTarget(Behaviour::Answer);
+        sendRequest("/lookup/left");
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return refresher.held.size() == 1; }));
+        m_callers.back()->close();
+        const auto answer = sendRequest("/lookup/stays");
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return refresher.held.size() == 2; }));
+        for (const auto &it : refresher.held)
+            it();
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(answer).status);
+        CPPUNIT_ASSERT_EQUAL(1, target.runs);
+        refresher.held.clear();
+        m_gateway->setTargetListRefresher(nullptr);
+    }
+
     // Fails if bytes without end occupy the instance until the deadline, or if "not run" is said of
     // a request that the target may have run.
     void endlessAnswerOfAnAtMostOnceRequestIsUnknown()
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -33,7 +33,10 @@
     /// Sends the response; \a closes ends the connection after it. Does nothing when the caller has
     /// gone or a response was sent before.
     void respond(const HttpResponse &response, bool closes = false);
-    /// Calls \a callback once if the caller ends the connection before the response.
+    /// True if the caller has ended the connection before the response.
+    bool isCallerGone() const { return m_isCallerGone; }
+    /// Calls \a callback once if the caller ends the connection before the response. Precondition:
+    /// isCallerGone() is false.
     void onCallerGone(std::function<void()> callback) { m_callerGone = std::move(callback); }
 
 private:
@@ -42,6 +45,7 @@
     IntrusivePtr<HttpSession> m_session;
     const HttpRequest m_request;
     std::function<void()> m_callerGone;
+    bool m_isCallerGone = false;
 };
 
 /// Bounds for the connections of a listener.
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -189,6 +189,7 @@
         return;
     const IntrusivePtr<HttpExchange> exchange(m_exchange);
     m_exchange = nullptr;
+    exchange->m_isCallerGone = true;
     const auto callback = std::move(exchange->m_callerGone);
     exchange->m_callerGone = nullptr;
     if (callback)
