Drop the request of a caller that has left, and mend a test's teardown

Change: a session asks the socket whether the peer has ended before it hands a request on; the fixture resets the timer before the loop. Measured: requestOfACallerThatHasLeftIsDropped handled two requests before, one after.

--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -202,6 +202,7 @@
 
     void tearDown() override
     {
+        m_answerTimer.reset();
         m_reader.reset();
         m_follower.reset();
         m_loop.reset();
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -5,6 +5,8 @@
 
 #include <asio/write.hpp>
 
+#include <sys/socket.h>
+
 namespace lycheebay {
 
 namespace {
@@ -14,6 +16,13 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// True if the peer has ended the connection and all of its bytes were read.
+bool isClosedByPeer(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 HttpSession::HttpSession(HttpListener &listener, asio::ip::tcp::socket socket, bool overLimit)
@@ -127,6 +136,11 @@
         reject(m_parser.state());
         return;
     }
+    // After a delay in the network or here, the request and the end of its caller come together.
+    if (m_input.empty() && isClosedByPeer(m_socket)) {
+        close();
+        return;
+    }
     m_lastRequest = !m_parser.isKeepAlive() || m_overLimit;
     moveToBack();
     const auto exchange =
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(responseOfAnotherRequestIsDropped);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(requestOfACallerThatHasLeftIsDropped);
     CPPUNIT_TEST(droppedRequestEndsItsConnection);
     CPPUNIT_TEST(badRequestsGetAnErrorAndTheListenerLives);
     CPPUNIT_TEST(connectionsOverTheLimitGetAnAnswer);
@@ -191,6 +192,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_listener->pendingCount());
     }
 
+    // Guards against requests that are sent on after their callers have left, as when a busy
+    // instance accepts their connections late (GONE, fresh-98d7 of 125 instances).
+    void requestOfACallerThatHasLeftIsDropped()
+    {
+        std::vector<std::string> handled;
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            handled.push_back(it->request().target);
+            it->respond(jsonResponse(200, "{}"));
+        });
+        {
+            asio::ip::tcp::socket caller(m_loop.context);
+            caller.connect({ asio::ip::make_address(address.host), address.port });
+            asio::write(caller, asio::buffer(get("/left")));
+        }
+        bool answered = false;
+        const Connection connection = connect(address);
+        connection->send(get("/stays"), false, nullptr,
+                         [&](TransferResult, const HttpResponse &) { answered = true; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return answered; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, handled.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("/stays"), handled.front());
+    }
+
     void badRequestsGetAnErrorAndTheListenerLives()
     {
         const Address address = serve(
