Review: let a leaving backend of the stand-in say so

Cause: the stand-in of case 5 went on to report good health after its entry was removed; a sound backend answers 503 on its health path and closes connections.

--- a/review/standins/estate.h
+++ b/review/standins/estate.h
@@ -170,7 +170,8 @@
     ~Backend();
 
     bool start();
-    /// Removes the registration without a notice of it; the backend goes on serving.
+    /// Removes the registration without a notice of it. The backend goes on serving, but answers
+    /// its health path with 503 and closes each connection after the response.
     TimePoint unregister();
     const std::string &name() const { return m_settings.id; }
     /// Requests that began to run, in their order.
@@ -216,6 +217,7 @@
     std::atomic<double> m_shedShare = 0;
     std::atomic<double> m_extraShare = 0;
     std::atomic<double> m_failShare = 0;
+    std::atomic<bool> m_isLeaving = false;
     std::atomic<int> m_extras = 0;
 };
 
