--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,6 +1,6 @@
 // All machines start within 0.3 s, the largest one last. Exits with 1 if no request is served,
 // because the directory has no address for the clients.
-#include "../standins/estate.h"
+#include "../estate.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 // A safe request crashes each backend that begins to run it, and comes again. Exits with 1 if it
 // reaches backends in more than three retries later than `contact` after its third crash.
-#include "../standins/estate.h"
+#include "../estate.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -2,7 +2,7 @@
 // and started again, in several rounds.
 // Exits with 1 if a request reaches such a backend later than the drain timeout after the store has
 // accepted its leaving.
-#include "../standins/estate.h"
+#include "../estate.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for part in net estate; do
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "review/standins/$part.cpp" -o "target/review/$part.o"
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "review/$part.cpp" -o "target/review/$part.o"
 done
 for source in review/[1-5]/case.cpp; do
   [ -e "$source" ] || continue
