Log the state of the retry budget with each retry

Change: the lines retry and retry_over_budget name the extra attempts and the requests counted, the limit, and the instances that share the slack.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -285,6 +285,11 @@
     m_context.metrics.countExtraAttempt(allowed);
     LogFields fields = logFields(allowed ? "retry" : "retry_over_budget");
     fields.add("reason", why).add("attempt", m_attempts);
+    const RetryBudgetUsage usage = m_dispatcher.retryLimiter().usage(m_context.clock.now());
+    fields.add("budget_used", usage.extraAttempts)
+            .add("budget_limit", static_cast<std::int64_t>(usage.limit))
+            .add("window_requests", usage.requests)
+            .add("instances", static_cast<std::int64_t>(usage.instances));
     m_context.log.write(fields);
     if (!allowed)
         return false;
--- a/src/gateway/retrylimiter.cpp
+++ b/src/gateway/retrylimiter.cpp
@@ -19,6 +19,7 @@
 void RetryLimiter::setBudget(const RetryBudget &budget, std::size_t instances)
 {
     m_budget = budget;
+    m_instances = instances;
     m_slackShare = budget.slack / static_cast<double>(instances + kUnlistedInstances);
 }
 
@@ -38,18 +39,25 @@
     ++bucketAt(now).requests;
 }
 
-bool RetryLimiter::tryAcquire(TimePoint now)
+RetryBudgetUsage RetryLimiter::usage(TimePoint now)
 {
-    Bucket &current = bucketAt(now);
-    int requests = 0;
-    int taken = 0;
+    bucketAt(now);
+    RetryBudgetUsage usage;
+    usage.instances = m_instances;
     for (const Bucket &it : m_buckets) {
-        requests += it.requests;
-        taken += it.extraAttempts;
+        usage.requests += it.requests;
+        usage.extraAttempts += it.extraAttempts;
     }
-    if (taken + 1 > m_budget.ratio * kRatioSafetyFactor * requests + m_slackShare)
+    usage.limit = m_budget.ratio * kRatioSafetyFactor * usage.requests + m_slackShare;
+    return usage;
+}
+
+bool RetryLimiter::tryAcquire(TimePoint now)
+{
+    const RetryBudgetUsage current = usage(now);
+    if (current.extraAttempts + 1 > current.limit)
         return false;
-    ++current.extraAttempts;
+    ++bucketAt(now).extraAttempts;
     return true;
 }
 
--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -19,6 +19,19 @@
     auto operator<=>(const RetryBudget &) const = default;
 };
 
+/// State of a RetryLimiter at one moment. The counts cover the last window.
+struct RetryBudgetUsage
+{
+    int requests = 0;
+    int extraAttempts = 0;
+    /// Extra attempts allowed for these requests.
+    double limit = 0;
+    /// Number of instances that the slack is divided among.
+    std::size_t instances = 0;
+
+    auto operator<=>(const RetryBudgetUsage &) const = default;
+};
+
 /// Enforces one instance's part of a RetryBudget without communication between instances: the ratio
 /// applies to the requests that the instance received in the last window, and the slack is divided
 /// evenly. Does no I/O. Not thread-safe. `now` must not decrease.
@@ -30,6 +43,7 @@
     void countRequest(TimePoint now);
     /// Uses one extra attempt of the budget. Returns false if none is left.
     bool tryAcquire(TimePoint now);
+    RetryBudgetUsage usage(TimePoint now);
 
 private:
     struct Bucket
@@ -42,6 +56,7 @@
     Bucket &bucketAt(TimePoint now);
 
     RetryBudget m_budget;
+    std::size_t m_instances = 0;
     double m_slackShare = 0;
     std::deque<Bucket> m_buckets;
 };
