Do not offer a request again that targets have rejected elsewhere

Callers saw nothing; the service got more repeats than its retry budget. Cause: a dispatcher whose targets rejected a forwarded request answered as one that has no room. The instance that had forwarded it then sent it to a further dispatcher or to its own targets, which no limiter counted. Change: the answer says that targets have rejected the request, and the first instance passes the refusal on. The other dispatcher has made the retries that the route and the budget allow, so none is lost. Measured: rejectionBehindAnotherDispatcherIsNotRetriedOverTheBudget had one retry with an empty budget before, none after.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -206,6 +206,7 @@
             refuse("target_unreachable", kRefusalRetryAfter);
         return;
     }
+    m_reachedTarget = true;
     if (result != TransferResult::Answered) {
         finishAttempt(attempt, AttemptResult::Failed, std::nullopt);
         handleFailure(result == TransferResult::Lost ? "connection_lost" : "malformed_answer");
@@ -395,7 +396,8 @@
                          fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", toSeconds(retryAfter)) });
     if (m_isForwarded)
-        response.headers.push_back({ kForwardOutcomeHeader, kNotRunOutcome });
+        response.headers.push_back(
+                { kForwardOutcomeHeader, m_reachedTarget ? kRejectedOutcome : kNotRunOutcome });
     LogFields fields = logFields("refused");
     fields.add("reason", reason).addMs("retry_after_ms", retryAfter);
     m_context.log.write(fields);
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -103,6 +103,8 @@
     std::vector<AttemptPtr> m_active;
     ExecutionState m_executionState = ExecutionState::NotRun;
     int m_attempts = 0;
+    /// Bytes of the request may have reached a target.
+    bool m_reachedTarget = false;
     bool m_queued = false;
     bool m_callerDisconnected = false;
     bool m_ended = false;
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -46,6 +46,9 @@
         else
             stay();
         return;
+    case ForwardOutcome::Rejected:
+        refuse("target_refused", retryAfter);
+        return;
     case ForwardOutcome::NotSent:
         stay();
         return;
--- a/src/gateway/internal/requestforwarder.cpp
+++ b/src/gateway/internal/requestforwarder.cpp
@@ -135,6 +135,13 @@
         refused(ForwardResult::Refused, retryAfterOf(response));
         return;
     }
+    if (outcome && *outcome == kRejectedOutcome) {
+        // The dispatcher has used the attempts that the route and the budget allow.
+        const Duration retryAfter = retryAfterOf(response);
+        recordResult(ForwardResult::Refused, retryAfter);
+        finish(ForwardOutcome::Rejected, {}, retryAfter);
+        return;
+    }
     recordResult(ForwardResult::Accepted, {});
     if (m_wanted.reason == ForwardReason::NoRoom && m_dispatcher.region != m_context.region)
         m_context.overflow.countSent(m_dispatcher.region);
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -13,9 +13,10 @@
 constexpr char kForwardedHeader[] = "Lycheebay-Forwarded";
 constexpr char kForwardedToOwner[] = "-";
 /// Header field of the response to a forwarded request that is not a target's response. Its value
-/// is kNotRunOutcome or kUnknownOutcome.
+/// is one of the next three constants.
 constexpr char kForwardOutcomeHeader[] = "Lycheebay-Forward-Outcome";
 constexpr char kNotRunOutcome[] = "not-run";
+constexpr char kRejectedOutcome[] = "rejected";
 constexpr char kUnknownOutcome[] = "unknown";
 
 /// True if another instance forwarded the request to this one.
@@ -29,6 +30,7 @@
 enum class ForwardOutcome {
     Response, ///< a target responded
     NotRun,   ///< dispatchers refused the request; no target got it
+    Rejected, ///< targets rejected the request; sending it to another one would be a retry
     NotSent,  ///< no dispatcher could be reached
     Unknown,  ///< a target may have run the request
 };
--- a/src/gateway/tests/forwardingtest.cpp
+++ b/src/gateway/tests/forwardingtest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(requestWithoutRoomIsForwarded);
     CPPUNIT_TEST(overflowIsCountedAtBothEnds);
     CPPUNIT_TEST(refusalOfTheOtherDispatcherSaysNotRun);
+    CPPUNIT_TEST(rejectionBehindAnotherDispatcherIsNotRetriedOverTheBudget);
     CPPUNIT_TEST(forwardedRequestIsNotForwardedAgain);
     CPPUNIT_TEST(lostAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(unreachableDispatcherIsBypassed);
@@ -30,9 +31,12 @@
         std::unique_ptr<HttpListener> listener;
         std::string failureDomain;
         bool hangs = false;
+        bool rejects = false;
         int runs = 0;
         int cancelled = 0;
         HttpRequest last;
+        int rejections = 0;
+        int slots = 3;
         std::vector<IntrusivePtr<HttpExchange>> held;
     };
 
@@ -60,7 +64,7 @@
         settings.instanceId = region;
         settings.region = region;
         settings.failureDomain = region + "1";
-        settings.regions = { { "a1", "a" }, { "b1", "b" } };
+        settings.regions = { { "a1", "a" }, { "b1", "b" }, { "b2", "b" } };
         settings.retryBudget = { 0.2, 100, 10s };
         auto gateway =
                 std::make_unique<Gateway>(m_loop->context, m_loop->timers, m_loop->clock, m_random,
@@ -77,6 +81,13 @@
             exchange->respond(response);
             return;
         }
+        if (target.rejects) {
+            ++target.rejections;
+            response.status = 503;
+            response.headers.push_back({ "Lycheebay-Not-Run", "1" });
+            exchange->respond(response);
+            return;
+        }
         ++target.runs;
         target.last = exchange->request();
         if (!target.hangs) {
@@ -111,7 +122,7 @@
             it.service = "s";
             it.address = { "127.0.0.1", m_targets[i]->listener->port() };
             it.failureDomain = m_targets[i]->failureDomain;
-            it.slots = 3;
+            it.slots = m_targets[i]->slots;
             list->targets.push_back(it);
         }
         m_blackboard->targets.publish(IntrusivePtr<const TargetList>(list));
@@ -283,6 +294,36 @@
         CPPUNIT_ASSERT_EQUAL(0, here.runs + gone.runs);
     }
 
+    void rejectionBehindAnotherDispatcherIsNotRetriedOverTheBudget()
+    {
+        Target &target = addTarget("b1");
+        target.rejects = true;
+        // Dispatchers are drawn in proportion to their slots.
+        target.slots = 3000;
+        addTarget("b2");
+        int retries = 0;
+        HttpListener other(m_loop->context, m_loop->timers, m_loop->clock,
+                           [&](const IntrusivePtr<HttpExchange> &it) {
+                               ++retries;
+                               it->respond(jsonResponse(200, "other"));
+                           });
+        CPPUNIT_ASSERT(other.start({ "127.0.0.1", 0 }).ok());
+        publishTargets();
+        auto list = makeRef<InstanceList>();
+        list->instances = { { "a", { "127.0.0.1", m_a->port() }, "a1" },
+                            { "b", { "127.0.0.1", m_b->port() }, "b1" },
+                            { "c", { "127.0.0.1", other.port() }, "b2" } };
+        m_blackboard->instances.publish(IntrusivePtr<const InstanceList>(list));
+        publishConfiguration();
+        const RetryBudget none{ 0, 0, 10s };
+        m_a->updateSettings(none, 6s);
+        m_b->updateSettings(none, 6s);
+        const HttpResponse response = waitForResponse(sendToA("/order/1", "POST"));
+        CPPUNIT_ASSERT_EQUAL(1, target.rejections);
+        CPPUNIT_ASSERT_EQUAL(0, retries);
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+    }
+
     // Fails if instances with different views pass a request back and forth.
     void forwardedRequestIsNotForwardedAgain()
     {
