Divide the retry slack among all instances that may be running

Callers saw nothing; a service could get more repeats than its budget. Cause: an instance that had no list of instances counted one, and a list that shrank, as in an outage of the store, raised the share at once. What is not known was taken for a small number. Change: without a list the slack is not used, and it is divided among the largest number of instances of the last window. Measured, extra attempts for 301 requests (124 allowed): startWithoutInstanceListDoesNotOverdrawTheBudget 209 before, within the budget after; shrunkInstanceListDoesNotOverdrawTheBudget 154 before, within it after; retrySlackIsNotUsedWithoutAnInstanceList had a second attempt before, none after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -258,8 +258,10 @@
     invalidateAddressCache();
     const bool ownershipKnown =
             instances && m_context.clock.now() - m_startedAt >= kColdTargetHoldOff;
-    const std::size_t instanceCount = instances ? instances->instances.size() : 1;
-    m_metrics.setInstances(instanceCount);
+    std::optional<std::size_t> instanceCount;
+    if (instances)
+        instanceCount = instances->instances.size();
+    m_metrics.setInstances(instanceCount.value_or(1));
     m_metrics.setTargets(targets ? targets->targets.size() : 0);
     const TargetList noTargets;
     const DrainedDomains noDomains;
@@ -275,7 +277,8 @@
         const ServiceProperties properties = known ? *known : ServiceProperties();
         dispatcher->configure(properties, poolTargets(inputs, ownership, service, self),
                               remoteDispatchers(inputs, ownership, service, self), ownershipKnown);
-        dispatcher->retryLimiter().setBudget(m_settings.retryBudget, instanceCount);
+        dispatcher->retryLimiter().setBudget(m_settings.retryBudget, instanceCount,
+                                             m_context.clock.now());
     }
 }
 
--- a/src/gateway/retrylimiter.cpp
+++ b/src/gateway/retrylimiter.cpp
@@ -16,11 +16,25 @@
 
 } // namespace
 
-void RetryLimiter::setBudget(const RetryBudget &budget, std::size_t instances)
+void RetryLimiter::setBudget(const RetryBudget &budget, std::optional<std::size_t> instances,
+                             TimePoint now)
 {
     m_budget = budget;
-    m_instances = instances;
-    m_slackShare = budget.slack / static_cast<double>(instances + kUnlistedInstances);
+    if (!instances)
+        return;
+    if (!m_instanceCounts.empty())
+        m_instanceCounts.back().replacedAt = now;
+    while (!m_instanceCounts.empty() && m_instanceCounts.back().count <= *instances)
+        m_instanceCounts.pop_back();
+    m_instanceCounts.push_back({ *instances, std::nullopt });
+}
+
+std::size_t RetryLimiter::instancesAt(TimePoint now)
+{
+    while (m_instanceCounts.size() > 1
+           && now - *m_instanceCounts.front().replacedAt > m_budget.window)
+        m_instanceCounts.pop_front();
+    return m_instanceCounts.empty() ? 0 : m_instanceCounts.front().count;
 }
 
 RetryLimiter::Bucket &RetryLimiter::bucketAt(TimePoint now)
@@ -43,12 +57,14 @@
 {
     bucketAt(now);
     RetryBudgetUsage usage;
-    usage.instances = m_instances;
+    usage.instances = instancesAt(now);
     for (const Bucket &it : m_buckets) {
         usage.requests += it.requests;
         usage.extraAttempts += it.extraAttempts;
     }
-    usage.limit = m_budget.ratio * kRatioSafetyFactor * usage.requests + m_slackShare;
+    usage.limit = m_budget.ratio * kRatioSafetyFactor * usage.requests;
+    if (usage.instances > 0)
+        usage.limit += m_budget.slack / static_cast<double>(usage.instances + kUnlistedInstances);
     return usage;
 }
 
--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -3,6 +3,7 @@
 #include "base/iclock.h"
 
 #include <deque>
+#include <optional>
 
 namespace lycheebay {
 
@@ -26,7 +27,7 @@
     int extraAttempts = 0;
     /// Extra attempts allowed for these requests.
     double limit = 0;
-    /// Number of instances that the slack is divided among.
+    /// Number of instances that the slack is divided among; 0 if it is not known.
     std::size_t instances = 0;
 
     auto operator<=>(const RetryBudgetUsage &) const = default;
@@ -38,7 +39,10 @@
 class RetryLimiter
 {
 public:
-    void setBudget(const RetryBudget &budget, std::size_t instances);
+    /// \a instances is the number of instances in the list; null while there is no list, and then
+    /// the slack is not used. It is divided among the largest number of the last window, since
+    /// instances that are missing from a list may still be running.
+    void setBudget(const RetryBudget &budget, std::optional<std::size_t> instances, TimePoint now);
 
     void countRequest(TimePoint now);
     /// Uses one extra attempt of the budget. Returns false if none is left.
@@ -53,11 +57,20 @@
         int extraAttempts = 0;
     };
 
+    struct InstanceCount
+    {
+        std::size_t count = 0;
+        /// When a smaller number replaced this one; null for the current number.
+        std::optional<TimePoint> replacedAt;
+    };
+
     Bucket &bucketAt(TimePoint now);
+    /// Returns the number of instances that share the slack; 0 if it is not known.
+    std::size_t instancesAt(TimePoint now);
 
     RetryBudget m_budget;
-    std::size_t m_instances = 0;
-    double m_slackShare = 0;
+    /// Descending counts, the current one last.
+    std::deque<InstanceCount> m_instanceCounts;
     std::deque<Bucket> m_buckets;
 };
 
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(requestIsRefusedWithoutConfiguration);
     CPPUNIT_TEST(unknownRouteIsRejected);
     CPPUNIT_TEST(rejectedRequestIsSentToAnotherTarget);
+    CPPUNIT_TEST(retrySlackIsNotUsedWithoutAnInstanceList);
     CPPUNIT_TEST(idempotentRequestIsRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestIsNotRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestThatWasNotSentIsRefused);
@@ -236,7 +237,8 @@
         settings.region = "r";
         settings.failureDomain = "d";
         settings.regions = { { "d", "r" } };
-        settings.retryBudget = { 0.2, 100, 10s };
+        // The ratio alone lets a single request be retried.
+        settings.retryBudget = { 2, 100, 10s };
         m_gateway =
                 std::make_unique<Gateway>(m_loop->context, m_loop->timers, m_loop->clock, *m_random,
                                           m_protocol, *m_blackboard, *m_metrics, settings);
@@ -298,6 +300,17 @@
         CPPUNIT_ASSERT_EQUAL(6, answers.runs);
     }
 
+    void retrySlackIsNotUsedWithoutAnInstanceList()
+    {
+        m_gateway->updateSettings({ 0, 100, 10s }, 6s);
+        addTarget(Behaviour::Reject);
+        addTarget(Behaviour::Reject);
+        publishConfiguration();
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/1")).status);
+        CPPUNIT_ASSERT(m_metrics->render().find(R"(attempts_total{verdict="shed"} 1)")
+                       != std::string::npos);
+    }
+
     void idempotentRequestIsRetriedAfterConnectionLoss()
     {
         publishConfiguration();
--- a/src/gateway/tests/retrybudgettest.cpp
+++ b/src/gateway/tests/retrybudgettest.cpp
@@ -41,7 +41,7 @@
 
     void setKnownInstances(std::size_t index, std::optional<std::size_t> known)
     {
-        m_limiters[index]->setBudget(kBudget, known.value_or(1));
+        m_limiters[index]->setBudget(kBudget, known, m_clock.now());
     }
 
     void startAll(std::optional<std::size_t> knownInstances)
--- a/src/gateway/tests/retrylimitertest.cpp
+++ b/src/gateway/tests/retrylimitertest.cpp
@@ -27,9 +27,9 @@
         const RetryBudget budget{ 0.2, 64, 10s };
         constexpr std::size_t kInstances = 19;
         std::vector<RetryLimiter> limiters(kInstances);
-        for (RetryLimiter &it : limiters)
-            it.setBudget(budget, kInstances);
         ManualClock clock;
+        for (RetryLimiter &it : limiters)
+            it.setBudget(budget, kInstances, clock.now());
         SeededRandom random(11);
         std::vector<std::pair<TimePoint, bool>> events; // true for an extra attempt
         for (int i = 0; i < 6000; ++i) {
@@ -53,8 +53,8 @@
     void budgetIsAvailableAgainAfterTheWindow()
     {
         RetryLimiter limiter;
-        limiter.setBudget({ 0.2, 8, 10s }, 2);
         ManualClock clock;
+        limiter.setBudget({ 0.2, 8, 10s }, 2, clock.now());
         CPPUNIT_ASSERT(limiter.tryAcquire(clock.now()));
         CPPUNIT_ASSERT(!limiter.tryAcquire(clock.now()));
         clock.advance(11s);
