Do not renew the retry slack with a restart

Callers saw nothing; a service could get more repeats than its budget. Cause: the limiter of a process that has just started knows nothing of what its predecessor used, and took the whole share once more within the same window. Change: a process uses its share of the slack from one window after its start on. The ratio on its own requests holds from the start.

--- a/src/gateway/internal/servicedispatcher.cpp
+++ b/src/gateway/internal/servicedispatcher.cpp
@@ -16,6 +16,7 @@
     : m_context(context)
     , m_service(std::move(service))
     , m_pool(settings, targetLatency, context.random)
+    , m_retryLimiter(context.clock.now())
     , m_dispatcherSelector(context.random)
     , m_lastRequestAt(context.clock.now() - kInactiveAfter)
 {
--- a/src/gateway/retrylimiter.cpp
+++ b/src/gateway/retrylimiter.cpp
@@ -63,7 +63,8 @@
         usage.extraAttempts += it.extraAttempts;
     }
     usage.limit = m_budget.ratio * kRatioSafetyFactor * usage.requests;
-    if (usage.instances > 0)
+    const bool slackIsFree = now - m_startedAt > m_budget.window + kBucketDuration;
+    if (usage.instances > 0 && slackIsFree)
         usage.limit += m_budget.slack / static_cast<double>(usage.instances + kUnlistedInstances);
     return usage;
 }
--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -39,6 +39,12 @@
 class RetryLimiter
 {
 public:
+    /// The slack is used from one window after \a startedAt on: an earlier process of the instance
+    /// may have used its share just before.
+    explicit RetryLimiter(TimePoint startedAt)
+        : m_startedAt(startedAt)
+    {}
+
     /// \a instances is the number of instances in the list; null while there is no list, and then
     /// the slack is not used. It is divided among the largest number of the last window, since
     /// instances that are missing from a list may still be running.
@@ -68,6 +74,7 @@
     /// Returns the number of instances that share the slack; 0 if it is not known.
     std::size_t instancesAt(TimePoint now);
 
+    const TimePoint m_startedAt;
     RetryBudget m_budget;
     /// Descending counts, the current one last.
     std::deque<InstanceCount> m_instanceCounts;
