Count retries when they are sent

Callers saw nothing; a service could get more repeats than its budget. Cause: a retry was counted when it was queued and arrived when a target had room, up to its deadline later. While targets were blocked, retries of more than one window were granted and then arrived together. Change: a granted retry is a reservation, which counts until it is sent, and then from that moment on, or is returned if the retry is not placed.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace lycheebay {
 
@@ -117,15 +118,24 @@
     if (!m_queued)
         return;
     m_queued = false;
+    cancelRetryReservation();
     m_dispatcher.cancel(m_queuedRequest.id);
     release();
 }
 
+void ProxiedRequest::cancelRetryReservation()
+{
+    if (std::exchange(m_retryReserved, false))
+        m_dispatcher.retryLimiter().cancel();
+}
+
 void ProxiedRequest::onPlaced(const Placement &placement,
                               const IntrusivePtr<TargetConnections> &targetConnections)
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
+    if (std::exchange(m_retryReserved, false))
+        m_dispatcher.retryLimiter().commit(m_context.clock.now());
     ++m_attempts;
     countPlacement();
     m_context.metrics.observeQueueTime(elapsedSince(m_queuedRequest.arrival));
@@ -282,7 +292,7 @@
 {
     if (!mayTryAgain())
         return false;
-    const bool allowed = m_dispatcher.retryLimiter().tryAcquire(m_context.clock.now());
+    const bool allowed = m_dispatcher.retryLimiter().tryReserve(m_context.clock.now());
     m_context.metrics.countExtraAttempt(allowed);
     LogFields fields = logFields(allowed ? "retry" : "retry_over_budget");
     fields.add("reason", why).add("attempt", m_attempts);
@@ -294,6 +304,7 @@
     m_context.log.write(fields);
     if (!allowed)
         return false;
+    m_retryReserved = true;
     // A retry may use all the time up to the deadline, since a late answer is better than none.
     m_queuedRequest.objective = m_queuedRequest.deadline;
     m_queuedRequest.refuseAt = m_queuedRequest.deadline;
@@ -306,6 +317,7 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
+    cancelRetryReservation();
     if (isPending() || forward(forwardReasonFor(refusal.reason)))
         return;
     if (refusal.reason == RefusalReason::Crowded || refusal.reason == RefusalReason::NotOwner)
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -54,6 +54,7 @@
     void countPlacement();
     void enqueue();
     void leaveQueue();
+    void cancelRetryReservation();
     void send(const AttemptPtr &attempt);
     HttpRequest attemptRequest(const TargetRecord &target, Duration remaining) const;
     void transferEnded(const AttemptPtr &attempt, TransferResult result, HttpResponse response);
@@ -106,6 +107,8 @@
     /// Bytes of the request may have reached a target.
     bool m_reachedTarget = false;
     bool m_queued = false;
+    /// The queued attempt has a reservation of the retry limiter.
+    bool m_retryReserved = false;
     bool m_callerDisconnected = false;
     bool m_ended = false;
 };
--- a/src/gateway/retrylimiter.cpp
+++ b/src/gateway/retrylimiter.cpp
@@ -57,6 +57,7 @@
 {
     bucketAt(now);
     RetryBudgetUsage usage;
+    usage.extraAttempts = m_reserved;
     usage.instances = instancesAt(now);
     for (const Bucket &it : m_buckets) {
         usage.requests += it.requests;
@@ -69,13 +70,24 @@
     return usage;
 }
 
-bool RetryLimiter::tryAcquire(TimePoint now)
+bool RetryLimiter::tryReserve(TimePoint now)
 {
     const RetryBudgetUsage current = usage(now);
     if (current.extraAttempts + 1 > current.limit)
         return false;
-    ++bucketAt(now).extraAttempts;
+    ++m_reserved;
     return true;
 }
 
+void RetryLimiter::commit(TimePoint now)
+{
+    --m_reserved;
+    ++bucketAt(now).extraAttempts;
+}
+
+void RetryLimiter::cancel()
+{
+    --m_reserved;
+}
+
 } // namespace lycheebay
--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -24,6 +24,7 @@
 struct RetryBudgetUsage
 {
     int requests = 0;
+    /// Extra attempts that were sent or are reserved.
     int extraAttempts = 0;
     /// Extra attempts allowed for these requests.
     double limit = 0;
@@ -51,8 +52,13 @@
     void setBudget(const RetryBudget &budget, std::optional<std::size_t> instances, TimePoint now);
 
     void countRequest(TimePoint now);
-    /// Uses one extra attempt of the budget. Returns false if none is left.
-    bool tryAcquire(TimePoint now);
+    /// Reserves one extra attempt. Returns false if none is left. A reservation counts until it is
+    /// committed or cancelled, however long that takes.
+    bool tryReserve(TimePoint now);
+    /// Reports that a reserved attempt is sent. Precondition: there is a reservation.
+    void commit(TimePoint now);
+    /// Returns a reservation that is not used. Precondition: there is a reservation.
+    void cancel();
     RetryBudgetUsage usage(TimePoint now);
 
 private:
@@ -79,6 +85,7 @@
     /// Descending counts, the current one last.
     std::deque<InstanceCount> m_instanceCounts;
     std::deque<Bucket> m_buckets;
+    int m_reserved = 0;
 };
 
 } // namespace lycheebay
--- a/src/gateway/tests/retrybudgettest.cpp
+++ b/src/gateway/tests/retrybudgettest.cpp
@@ -30,6 +30,8 @@
     ManualClock m_clock;
     SeededRandom m_random{ 1 };
     std::vector<std::unique_ptr<RetryLimiter>> m_limiters;
+    /// The limiter of each retry that waits in a queue.
+    std::vector<RetryLimiter *> m_queued;
     std::vector<TimePoint> m_requests;
     std::vector<TimePoint> m_arrivals;
 
@@ -52,21 +54,34 @@
     }
 
     /// One second of requests, spread over the instances. Each asks for \a retries extra attempts,
-    /// which arrive at once.
-    void playSecond(int requests, int retries = 1)
+    /// which are sent at once or wait in the queue.
+    void playSecond(int requests, int retries = 1, bool blocked = false)
     {
+        if (!blocked)
+            sendQueued();
         for (int i = 0; i < requests; ++i) {
             m_clock.advance(std::chrono::duration_cast<Duration>(1s) / requests);
             RetryLimiter &limiter = *m_limiters[m_random.below(kInstances)];
             limiter.countRequest(m_clock.now());
             m_requests.push_back(m_clock.now());
             for (int n = 0; n < retries; ++n) {
-                if (limiter.tryAcquire(m_clock.now()))
-                    m_arrivals.push_back(m_clock.now());
+                if (limiter.tryReserve(m_clock.now()))
+                    m_queued.push_back(&limiter);
             }
+            if (!blocked)
+                sendQueued();
         }
     }
 
+    void sendQueued()
+    {
+        for (RetryLimiter *it : m_queued) {
+            it->commit(m_clock.now());
+            m_arrivals.push_back(m_clock.now());
+        }
+        m_queued.clear();
+    }
+
     static int countBetween(const std::vector<TimePoint> &times, TimePoint first, TimePoint last)
     {
         return static_cast<int>(std::lower_bound(times.begin(), times.end(), last)
@@ -77,7 +92,6 @@
     /// before, whichever are most.
     void checkBudget()
     {
-        std::sort(m_arrivals.begin(), m_arrivals.end());
         const Duration window = kBudget.window;
         for (const TimePoint start : m_arrivals) {
             const int requests =
@@ -136,11 +150,7 @@
         startAll(kInstances);
         for (int second = 0; second < 60; ++second) {
             const bool blocked = second % 20 >= 10 && second % 20 < 16;
-            const TimePoint roomAt = m_clock.now() + 1s * (16 - second % 20);
-            const std::size_t first = m_arrivals.size();
-            playSecond(30, 5);
-            for (std::size_t i = first; blocked && i < m_arrivals.size(); ++i)
-                m_arrivals[i] = roomAt;
+            playSecond(30, 5, blocked);
         }
         checkBudget();
     }
--- a/src/gateway/tests/retrylimitertest.cpp
+++ b/src/gateway/tests/retrylimitertest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(RetryLimiterTest);
     CPPUNIT_TEST(allInstancesStayWithinTheSharedBudget);
     CPPUNIT_TEST(budgetIsAvailableAgainAfterTheWindow);
+    CPPUNIT_TEST(reservationCountsUntilItIsCancelled);
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanComplete);
     CPPUNIT_TEST_SUITE_END();
 
@@ -37,8 +38,10 @@
             RetryLimiter &limiter = limiters[random.below(kInstances)];
             limiter.countRequest(clock.now());
             events.emplace_back(clock.now(), false);
-            if (limiter.tryAcquire(clock.now()))
+            if (limiter.tryReserve(clock.now())) {
+                limiter.commit(clock.now());
                 events.emplace_back(clock.now(), true);
+            }
         }
         for (std::size_t first = 0; first < events.size(); first += 50) {
             int requests = 0;
@@ -55,12 +58,26 @@
         ManualClock clock;
         RetryLimiter limiter(clock.now());
         limiter.setBudget({ 0.2, 8, 10s }, 2, clock.now());
-        CPPUNIT_ASSERT(!limiter.tryAcquire(clock.now()));
+        CPPUNIT_ASSERT(!limiter.tryReserve(clock.now()));
         clock.advance(11s);
-        CPPUNIT_ASSERT(limiter.tryAcquire(clock.now()));
-        CPPUNIT_ASSERT(!limiter.tryAcquire(clock.now()));
+        CPPUNIT_ASSERT(limiter.tryReserve(clock.now()));
+        limiter.commit(clock.now());
+        CPPUNIT_ASSERT(!limiter.tryReserve(clock.now()));
         clock.advance(11s);
-        CPPUNIT_ASSERT(limiter.tryAcquire(clock.now()));
+        CPPUNIT_ASSERT(limiter.tryReserve(clock.now()));
+    }
+
+    void reservationCountsUntilItIsCancelled()
+    {
+        ManualClock clock;
+        RetryLimiter limiter(clock.now());
+        limiter.setBudget({ 0.2, 8, 10s }, 2, clock.now());
+        clock.advance(11s);
+        CPPUNIT_ASSERT(limiter.tryReserve(clock.now()));
+        clock.advance(11s);
+        CPPUNIT_ASSERT(!limiter.tryReserve(clock.now()));
+        limiter.cancel();
+        CPPUNIT_ASSERT(limiter.tryReserve(clock.now()));
     }
 
     // Fails if a request is accepted that the end of the grace period may interrupt.
