Let requests pay for retries only soon after they came

Callers saw nothing; a service could get more repeats than its budget. Cause: the limit counted the requests of the last 10.5 s. After two peaks of load in one such time the retries of the second could be as many as the requests of both allow, in a window that holds only one of them; so could those of two instances between which the load moves. Change: the limit holds over a quarter of the window as well.

--- a/src/gateway/retrylimiter.cpp
+++ b/src/gateway/retrylimiter.cpp
@@ -13,6 +13,9 @@
 // too.
 constexpr std::size_t kUnlistedInstances = 6;
 constexpr Duration kBucketDuration = std::chrono::milliseconds(500);
+// The limit also holds over this part of the window, so that requests of two peaks of load do not
+// pay for retries in the second one, or at two instances between which the load has moved.
+constexpr int kWindowDivisor = 4;
 
 } // namespace
 
@@ -54,12 +57,21 @@
 }
 
 RetryBudgetUsage RetryLimiter::usage(TimePoint now)
+{
+    const RetryBudgetUsage whole = usageOver(m_budget.window, now);
+    const RetryBudgetUsage part = usageOver(m_budget.window / kWindowDivisor, now);
+    return part.limit - part.extraAttempts < whole.limit - whole.extraAttempts ? part : whole;
+}
+
+RetryBudgetUsage RetryLimiter::usageOver(Duration span, TimePoint now)
 {
     bucketAt(now);
     RetryBudgetUsage usage;
     usage.extraAttempts = m_reserved;
     usage.instances = instancesAt(now);
     for (const Bucket &it : m_buckets) {
+        if (now - it.start > span + kBucketDuration)
+            continue;
         usage.requests += it.requests;
         usage.extraAttempts += it.extraAttempts;
     }
--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -20,7 +20,8 @@
     auto operator<=>(const RetryBudget &) const = default;
 };
 
-/// State of a RetryLimiter at one moment. The counts cover the last window.
+/// State of a RetryLimiter at one moment: the counts over the last window or over its last part,
+/// whichever has less left.
 struct RetryBudgetUsage
 {
     int requests = 0;
@@ -77,6 +78,7 @@
     };
 
     Bucket &bucketAt(TimePoint now);
+    RetryBudgetUsage usageOver(Duration span, TimePoint now);
     /// Returns the number of instances that share the slack; 0 if it is not known.
     std::size_t instancesAt(TimePoint now);
 
