Read and log the limit that targets name in their answers

Cause: the log of the incident does not tell what limit a target named, when its dispatcher learned of it, and when it ended (docs/incidents/target-limit.md). An answer to a request without the field ends the limit; answers that only reject or probe do not. Nothing is limited yet.

--- a/src/gateway/internal/servicedispatcher.cpp
+++ b/src/gateway/internal/servicedispatcher.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/servicedispatcher.h"
 
+#include <fmt/format.h>
+
 namespace lycheebay {
 
 namespace {
@@ -78,6 +80,9 @@
 {
     // The load is updated first, since a target may still count the request that it answers.
     applyMetadata(key, metadata);
+    // Rejections and errors may come from a part of the target that names no limit.
+    if (result == AttemptResult::Served && !metadata.requestLimit)
+        updateRequestLimit(key, std::nullopt);
     m_pool.finish(key, result, elapsed, m_context.clock.now());
     if (!m_requests.empty())
         scheduleRun();
@@ -90,6 +95,18 @@
         m_pool.updateLoad(key, *metadata.load, now);
     if (metadata.coldFor)
         m_pool.updateColdTime(key, *metadata.coldFor, now);
+    if (metadata.requestLimit && !metadata.wrongTarget)
+        updateRequestLimit(key, metadata.requestLimit);
+}
+
+void ServiceDispatcher::updateRequestLimit(const std::string &key, std::optional<double> perSecond)
+{
+    if (!m_pool.updateRequestLimit(key, perSecond, m_context.clock.now()))
+        return;
+    LogFields fields("target_limit");
+    fields.add("service", m_service).add("target", key);
+    fields.add("requests_per_s", perSecond ? fmt::format("{:.3f}", *perSecond) : "none");
+    m_context.log.write(fields);
 }
 
 void ServiceDispatcher::scheduleRun()
--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -60,6 +60,7 @@
     void apply(const PoolDecisions &decisions);
     void probe(const TargetRecord &target);
     void applyMetadata(const std::string &key, const ResponseMetadata &metadata);
+    void updateRequestLimit(const std::string &key, std::optional<double> perSecond);
     bool isActive() const;
 
     GatewayContext &m_context;
--- a/src/gateway/itargetprotocol.h
+++ b/src/gateway/itargetprotocol.h
@@ -37,6 +37,9 @@
     std::optional<TargetLoad> load;
     /// Time until the target is warm.
     std::optional<Duration> coldFor;
+    /// Requests per second that the target accepts from all instances together; null if it names no
+    /// limit.
+    std::optional<double> requestLimit;
 
     auto operator<=>(const ResponseMetadata &) const = default;
 };
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -149,6 +149,9 @@
     /// The following functions do nothing if the target is no longer in the pool.
     void updateLoad(const std::string &key, const TargetLoad &load, TimePoint now);
     void updateColdTime(const std::string &key, Duration left, TimePoint now);
+    /// Sets the requests per second that a target accepts from all instances together; null for no
+    /// limit. Returns true if that changes what was known.
+    bool updateRequestLimit(const std::string &key, std::optional<double> perSecond, TimePoint now);
     void recordProbe(const std::string &key, bool answered, TimePoint now);
     /// Reports the end of an attempt that decide() placed. \a elapsed is null if the target did not
     /// process the request.
@@ -173,6 +176,9 @@
         std::optional<TimePoint> probeSentAt;
         TimePoint coldUntil;
         TimePoint nextColdRequest;
+        /// Requests per second that the target accepts; null if it names no limit.
+        std::optional<double> requestLimit;
+        TimePoint requestLimitReportedAt;
         /// No response has been received yet, so the target may be cold.
         bool noResponseYet = true;
     };
--- a/src/gateway/servicepooltargets.cpp
+++ b/src/gateway/servicepooltargets.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lycheebay {
 
@@ -99,6 +100,16 @@
     it->coldUntil = now + left;
 }
 
+bool ServicePool::updateRequestLimit(const std::string &key, std::optional<double> perSecond,
+                                     TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return false;
+    it->requestLimitReportedAt = now;
+    return std::exchange(it->requestLimit, perSecond) != perSecond;
+}
+
 void ServicePool::recordProbe(const std::string &key, bool answered, TimePoint now)
 {
     TargetState *it = find(key);
