--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(farTargetsServeOnlyWhenNearOnesCannot);
     CPPUNIT_TEST(coldTargetsAreRateLimited);
     CPPUNIT_TEST(onlyTheOwnerUsesColdTargets);
+    CPPUNIT_TEST(targetGetsNoMoreRequestsThanTheLimitThatItNames);
     CPPUNIT_TEST(overloadIsRefusedAtOnceWithRetryAfter);
     CPPUNIT_TEST(noTargetIsRefusedAtOnce);
     CPPUNIT_TEST(requestThatCannotMeetItsDeadlineIsNotSent);
@@ -230,6 +231,32 @@
     }
 
     // Load: far more simultaneous requests than the slots can serve within the objective.
+    // In any 4 s a target may get one and a half times what its limit allows, and 5 requests.
+    void targetGetsNoMoreRequestsThanTheLimitThatItNames()
+    {
+        constexpr double kLimit = 2;
+        use({ target("a") });
+        std::vector<TimePoint> placed;
+        for (int i = 0; i < 400; ++i) {
+            m_clock.advance(50ms);
+            reportLoads({});
+            m_pool->updateRequestLimit(key(0), kLimit, m_clock.now());
+            const PoolDecisions decisions = submit();
+            for (std::size_t n = 0; n < decisions.placements.size(); ++n) {
+                placed.push_back(m_clock.now());
+                m_pool->finish(key(0), AttemptResult::Served, 50ms, m_clock.now());
+            }
+        }
+        const auto inWindow = [&](TimePoint start) {
+            return std::count_if(placed.begin(), placed.end(),
+                                 [&](TimePoint it) { return it >= start && it < start + 4s; });
+        };
+        for (const TimePoint start : placed)
+            CPPUNIT_ASSERT(inWindow(start) <= 1.5 * 4 * kLimit + 5);
+        // The limit itself is used.
+        CPPUNIT_ASSERT(placed.size() >= 36);
+    }
+
     void overloadIsRefusedAtOnceWithRetryAfter()
     {
         use({ target("a"), target("b") });
