Send targets no more requests than the limit that they name

Callers saw nothing; a target in need got up to 16 times what it could take. Cause: the limit was not read; a dispatcher placed requests by slots and load. Evidence: in the record all 26 arrivals at i-1d92220937 from 11 s to 15 s, with a limit of 1.6 a second, were placed by its dispatcher. Change: the owner of a target spaces the requests by the limit (at most two at once after a pause), other instances leave such a target alone, and the expected wait counts the limit, so that what it cannot serve is refused or forwarded at once. The pacing of cold targets uses the same class.

--- a/src/gateway/lycheebayprotocol.h
+++ b/src/gateway/lycheebayprotocol.h
@@ -5,7 +5,7 @@
 namespace lycheebay {
 
 /// The Lycheebay header fields, documented in docs/callers.md. Immutable and thread-safe.
-class LycheebayProtocol final : public ITargetProtocol
+class LycheebayProtocol : public ITargetProtocol
 {
 public:
     RequestMetadata readRequestMetadata(const HttpRequest &request) const override;
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -244,8 +244,8 @@
 {
     TargetState &target = *choice.target;
     ++target.inFlight;
-    if (isCold(target, now))
-        target.nextColdRequest = now + fromSeconds(1 / m_coldRequestsPerSecond);
+    if (const auto rate = rateLimitOf(target, now))
+        target.pacer.recordSent(now, *rate);
     target.health.recordTrialStarted(now);
     Placement placement{ request.id,   target.target.record, choice.expected,
                          std::nullopt, target.slowdown,      m_requestsAhead };
@@ -272,17 +272,16 @@
 Duration ServicePool::expectedWait(const std::vector<TargetState *> &targets, std::size_t ahead,
                                    TimePoint now) const
 {
-    int slots = 0;
+    double throughput = 0;
     int free = 0;
     for (const TargetState *it : targets) {
-        slots += concurrencyLimitOf(*it, now);
+        throughput += throughputOf(*it, now);
         free += std::max(0, freeSlots(*it, now));
     }
-    if (slots == 0)
+    if (throughput <= 0)
         return kMaxRetryAfter;
     const auto blocked = static_cast<double>(ahead) + 1 - free;
-    return blocked <= 0 ? Duration::zero()
-                        : fromSeconds(toSeconds(m_slotHoldTime) * blocked / slots);
+    return blocked <= 0 ? Duration::zero() : fromSeconds(blocked / throughput);
 }
 
 int ServicePool::otherInFlightOf(const TargetState &it, TimePoint now) const
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -4,6 +4,7 @@
 #include "base/stringmap.h"
 #include "gateway/estateview.h"
 #include "gateway/itargetprotocol.h"
+#include "gateway/requestpacer.h"
 #include "gateway/servicetimeestimate.h"
 #include "gateway/targethealth.h"
 
@@ -125,8 +126,9 @@
 /// from one moment to the next. A request is placed on a free target that can meet its latency
 /// objective, waits while such a target may still become free, and is refused at once if the
 /// expected wait is too long. Requests that can no longer meet their objective only get capacity
-/// that the others leave, so that a burst does not delay all later requests. Does no I/O. Not
-/// thread-safe. `now` must not decrease.
+/// that the others leave, so that a burst does not delay all later requests. A target that names a
+/// limit gets requests from its dispatcher only, evenly spaced. Does no I/O. Not thread-safe. `now`
+/// must not decrease.
 class ServicePool
 {
 public:
@@ -175,7 +177,8 @@
         std::optional<TimePoint> loadReportedAt;
         std::optional<TimePoint> probeSentAt;
         TimePoint coldUntil;
-        TimePoint nextColdRequest;
+        /// Paces the requests while the target is cold or names a limit.
+        RequestPacer pacer;
         /// Requests per second that the target accepts; null if it names no limit.
         std::optional<double> requestLimit;
         TimePoint requestLimitReportedAt;
@@ -191,6 +194,11 @@
     TargetState *find(const std::string &key);
     bool isCold(const TargetState &it, TimePoint now) const;
     bool mayUseCold(const TargetState &it) const;
+    bool hasRequestLimit(const TargetState &it, TimePoint now) const;
+    /// Returns the requests per second that the target may get; null if only its slots bound them.
+    std::optional<double> rateLimitOf(const TargetState &it, TimePoint now) const;
+    /// Requests per second that the target completes at most.
+    double throughputOf(const TargetState &it, TimePoint now) const;
     int concurrencyLimitOf(const TargetState &it, TimePoint now) const;
     int freeSlots(const TargetState &it, TimePoint now) const;
     int otherInFlightOf(const TargetState &it, TimePoint now) const;
--- a/src/gateway/servicepooltargets.cpp
+++ b/src/gateway/servicepooltargets.cpp
@@ -11,6 +11,13 @@
 
 // Weight of a sample in the moving average of the slot hold time.
 constexpr double kHoldSampleWeight = 0.05;
+// Requests that a target with a limit may get at once after a pause.
+constexpr int kLimitBurst = 2;
+// A target that names a lower limit still gets this many requests per second; its answers tell when
+// the limit ends.
+constexpr double kMinRequestLimit = 0.1;
+// A limit that no answer has repeated for this time is forgotten.
+constexpr Duration kRequestLimitLifetime = std::chrono::seconds(12);
 
 bool contains(const std::vector<std::string> &list, const std::string &value)
 {
@@ -47,6 +54,9 @@
     // A target that has not responded yet may be cold; it is probed before it gets a request.
     if (!it.noResponseYet && isCold(it, now) && !mayUseCold(it))
         return false;
+    // The limit holds for all instances together, so that only the owner uses it.
+    if (it.target.proximity != Proximity::Owned && hasRequestLimit(it, now))
+        return false;
     // An unresponsive target is not used even if all others are ejected.
     return allowEjected ? !it.health.isUnresponsive() : !it.health.isEjected(now);
 }
@@ -70,11 +80,39 @@
 
 int ServicePool::freeSlots(const TargetState &it, TimePoint now) const
 {
-    if (isCold(it, now) && (!mayUseCold(it) || now < it.nextColdRequest))
+    if (isCold(it, now) && !mayUseCold(it))
+        return 0;
+    const int burst = isCold(it, now) ? 1 : kLimitBurst;
+    const auto rate = rateLimitOf(it, now);
+    if (rate && !it.pacer.isReady(now, *rate, burst))
         return 0;
     return concurrencyLimitOf(it, now) - it.inFlight - otherInFlightOf(it, now);
 }
 
+bool ServicePool::hasRequestLimit(const TargetState &it, TimePoint now) const
+{
+    return it.requestLimit && now - it.requestLimitReportedAt <= kRequestLimitLifetime;
+}
+
+std::optional<double> ServicePool::rateLimitOf(const TargetState &it, TimePoint now) const
+{
+    std::optional<double> rate;
+    if (isCold(it, now))
+        rate = m_coldRequestsPerSecond;
+    if (hasRequestLimit(it, now)) {
+        const double limit = std::max(*it.requestLimit, kMinRequestLimit);
+        rate = rate ? std::min(*rate, limit) : limit;
+    }
+    return rate;
+}
+
+double ServicePool::throughputOf(const TargetState &it, TimePoint now) const
+{
+    const double bySlots = concurrencyLimitOf(it, now) / toSeconds(m_slotHoldTime);
+    const auto rate = hasRequestLimit(it, now) ? rateLimitOf(it, now) : std::nullopt;
+    return rate ? std::min(bySlots, *rate) : bySlots;
+}
+
 bool ServicePool::isFresh(const TargetState &it, TimePoint now) const
 {
     return it.loadReportedAt && now - *it.loadReportedAt <= m_settings.loadFreshness;
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -14,6 +14,25 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+constexpr char kLimitHeader[] = "Test-Limit";
+
+/// The protocol of lycheebay with a field for the limit of a target.
+class LimitProtocol final : public LycheebayProtocol
+{
+public:
+    ResponseMetadata readResponseMetadata(const HttpResponse &response) const override
+    {
+        ResponseMetadata metadata = LycheebayProtocol::readResponseMetadata(response);
+        if (const std::string *limit = findHeader(response.headers, kLimitHeader))
+            metadata.requestLimit = std::stod(*limit);
+        return metadata;
+    }
+};
+
+} // namespace
+
 /// Runs a Gateway with callers and targets on the same event loop.
 class GatewayTest : public CppUnit::TestFixture
 {
@@ -23,6 +42,7 @@
     CPPUNIT_TEST(unknownRouteIsRejected);
     CPPUNIT_TEST(rejectedRequestIsSentToAnotherTarget);
     CPPUNIT_TEST(retrySlackIsNotUsedWithoutAnInstanceList);
+    CPPUNIT_TEST(limitThatATargetNamesHoldsUntilAnAnswerNamesNone);
     CPPUNIT_TEST(idempotentRequestIsRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestIsNotRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestThatWasNotSentIsRefused);
@@ -53,6 +73,8 @@
         int runs = 0;
         int cancelled = 0;
         HttpRequest last;
+        /// Requests per second that the answers name as the limit.
+        std::string limit;
         std::vector<IntrusivePtr<HttpExchange>> heldExchanges;
         std::vector<TimerSubscription> timers;
     };
@@ -69,7 +91,7 @@
     std::unique_ptr<GatewayBlackboard> m_blackboard;
     std::unique_ptr<GatewayMetrics> m_metrics;
     std::unique_ptr<Gateway> m_gateway;
-    LycheebayProtocol m_protocol;
+    LimitProtocol m_protocol;
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<IntrusivePtr<HttpClientConnection>> m_callers;
 
@@ -106,6 +128,8 @@
             return;
         case Behaviour::Answer:
             ++target.runs;
+            if (!target.limit.empty())
+                response.headers.push_back({ kLimitHeader, target.limit });
             exchange->respond(response);
             return;
         }
@@ -300,6 +324,29 @@
         CPPUNIT_ASSERT_EQUAL(6, answers.runs);
     }
 
+    void limitThatATargetNamesHoldsUntilAnAnswerNamesNone()
+    {
+        Target &target = addTarget(Behaviour::Answer);
+        target.limit = "0.5";
+        publishConfiguration();
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/1")).status);
+        std::vector<std::shared_ptr<Answer>> answers;
+        for (int i = 0; i < 8; ++i)
+            answers.push_back(sendRequest("/lookup/1"));
+        const auto answered = [&](int status) {
+            return std::count_if(answers.begin(), answers.end(), [&](const auto &it) {
+                return it->received && it->response.status == status;
+            });
+        };
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return answered(200) + answered(503) == 8; }));
+        CPPUNIT_ASSERT(answered(200) <= 2);
+        CPPUNIT_ASSERT_EQUAL(static_cast<long>(target.runs - 1), answered(200));
+        target.limit.clear();
+        while (waitForResponse(sendRequest("/lookup/1")).status != 200) {}
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/1")).status);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/1")).status);
+    }
+
     void retrySlackIsNotUsedWithoutAnInstanceList()
     {
         m_gateway->updateSettings({ 0, 100, 10s }, 6s);
--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(coldTargetsAreRateLimited);
     CPPUNIT_TEST(onlyTheOwnerUsesColdTargets);
     CPPUNIT_TEST(targetGetsNoMoreRequestsThanTheLimitThatItNames);
+    CPPUNIT_TEST(onlyTheOwnerUsesATargetWithALimit);
+    CPPUNIT_TEST(waitForATargetWithALimitIsExpected);
     CPPUNIT_TEST(overloadIsRefusedAtOnceWithRetryAfter);
     CPPUNIT_TEST(noTargetIsRefusedAtOnce);
     CPPUNIT_TEST(requestThatCannotMeetItsDeadlineIsNotSent);
@@ -257,6 +259,37 @@
         CPPUNIT_ASSERT(placed.size() >= 36);
     }
 
+    void onlyTheOwnerUsesATargetWithALimit()
+    {
+        use({ target("a", Proximity::SameDomain), target("b", Proximity::OtherRegion) });
+        reportLoads({});
+        m_pool->updateRequestLimit(key(0), 2, m_clock.now());
+        CPPUNIT_ASSERT(placedTargets(submit()) == std::vector<std::string>{ "b" });
+        m_pool->updateRequestLimit(key(0), std::nullopt, m_clock.now());
+        CPPUNIT_ASSERT(placedTargets(submit()) == std::vector<std::string>{ "a" });
+        // No answer can tell an instance that sends nothing when the limit ends.
+        m_pool->updateRequestLimit(key(0), 2, m_clock.now());
+        m_clock.advance(13s);
+        reportLoads({});
+        CPPUNIT_ASSERT(placedTargets(submit()) == std::vector<std::string>{ "a" });
+    }
+
+    // Fails if requests wait in vain, since the free slots of the target promise room.
+    void waitForATargetWithALimitIsExpected()
+    {
+        use({ target("a") });
+        reportLoads({});
+        m_pool->updateRequestLimit(key(0), 1, m_clock.now());
+        for (int i = 0; i < 2; ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, submit().placements.size());
+            m_pool->finish(key(0), AttemptResult::Served, 1ms, m_clock.now());
+        }
+        const PoolDecisions decisions = submit();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, decisions.refusals.size());
+        CPPUNIT_ASSERT(decisions.refusals.front().reason == RefusalReason::QueueFull);
+        CPPUNIT_ASSERT(decisions.refusals.front().retryAfter >= 500ms);
+    }
+
     void overloadIsRefusedAtOnceWithRetryAfter()
     {
         use({ target("a"), target("b") });
