--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -9,6 +9,10 @@
 
 namespace lycheebay {
 
+/// Longest name of a target, service, failure domain or instance, in bytes. Instances reject
+/// updates that contain a longer or an empty one.
+constexpr std::size_t kMaxNameBytes = 256;
+
 /// Registration of one incarnation of a target.
 struct TargetRecord
 {
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -14,7 +14,6 @@
 // Limits for frames from other instances, far above what the largest estate needs.
 constexpr flatbuffers::uoffset_t kMaxDepth = 4;
 constexpr flatbuffers::uoffset_t kMaxTables = 100'000;
-constexpr std::size_t kMaxNameBytes = 256;
 
 template <typename T>
 auto lowerBound(std::vector<T> &list, const std::string &id)
