Do not take a repeated rejection for the answer to the next request

Cause: a rejection bears no attempt id at times. A faulty target that wrote an earlier one again on a kept connection was believed about the request that was waiting there.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -222,9 +222,20 @@
         handleFailure(result == TransferResult::Lost ? "connection_lost" : "malformed_answer");
         return;
     }
-    attempt->targetConnections->releaseConnection(attempt->connection);
     const ResponseMetadata metadata = m_context.protocol.readResponseMetadata(response);
-    if (metadata.notRun || metadata.wrongTarget)
+    const bool rejected = metadata.notRun || metadata.wrongTarget;
+    if (rejected && metadata.attemptId.empty()) {
+        // A faulty target may send the rejection again, which could not be told from the answer to
+        // the next request.
+        attempt->connection->close();
+        if (attempt->connection->hasDroppedResponses()) {
+            finishAttempt(attempt, AttemptResult::Failed, std::nullopt);
+            handleFailure("unmatched_rejection");
+            return;
+        }
+    }
+    attempt->targetConnections->releaseConnection(attempt->connection);
+    if (rejected)
         handleNotRun(attempt, std::move(response), metadata);
     else
         handleResponse(attempt, std::move(response), metadata);
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 #include "base/seededrandom.h"
 #include "gateway/lycheebayprotocol.h"
+#include "gateway/tests/repeatingtarget.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
 #include "http/tests/loopfixture.h"
@@ -18,8 +19,10 @@
 
 constexpr char kLimitHeader[] = "Test-Limit";
 
-/// The protocol of lycheebay with a field for the limit of a target.
-class LimitProtocol final : public LycheebayProtocol
+constexpr char kAttemptHeader[] = "Test-Attempt";
+
+/// The protocol of lycheebay with fields for the limit of a target and the attempt that it answers.
+class TestProtocol final : public LycheebayProtocol
 {
 public:
     ResponseMetadata readResponseMetadata(const HttpResponse &response) const override
@@ -27,6 +30,8 @@
         ResponseMetadata metadata = LycheebayProtocol::readResponseMetadata(response);
         if (const std::string *limit = findHeader(response.headers, kLimitHeader))
             metadata.requestLimit = std::stod(*limit);
+        if (const std::string *id = findHeader(response.headers, kAttemptHeader))
+            metadata.attemptId = *id;
         return metadata;
     }
 };
@@ -46,6 +51,8 @@
     CPPUNIT_TEST(idempotentRequestIsRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestIsNotRetriedAfterConnectionLoss);
     CPPUNIT_TEST(atMostOnceRequestThatWasNotSentIsRefused);
+    CPPUNIT_TEST(repeatedRejectionIsNotTakenForTheNextAnswer);
+    CPPUNIT_TEST(rejectionAfterAnotherAnswerDoesNotProveThatARequestWasNotRun);
     CPPUNIT_TEST(slowIdempotentRequestIsHedged);
     CPPUNIT_TEST(slowRequestWithoutOtherTargetIsNotCancelled);
     CPPUNIT_TEST(routeTimeoutIsAnswered);
@@ -68,6 +75,7 @@
         std::unique_ptr<HttpListener> listener;
         /// Takes the place of the listener if set.
         std::unique_ptr<EndlessServer> endless;
+        std::unique_ptr<RepeatingTarget> repeating;
         Behaviour behaviour = Behaviour::Answer;
         Duration delay{};
         int runs = 0;
@@ -91,7 +99,7 @@
     std::unique_ptr<GatewayBlackboard> m_blackboard;
     std::unique_ptr<GatewayMetrics> m_metrics;
     std::unique_ptr<Gateway> m_gateway;
-    LimitProtocol m_protocol;
+    TestProtocol m_protocol;
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<IntrusivePtr<HttpClientConnection>> m_callers;
 
@@ -170,6 +178,14 @@
         return *m_targets.back()->endless;
     }
 
+    static Address addressOf(const Target &target)
+    {
+        if (target.endless)
+            return target.endless->address();
+        return target.repeating ? target.repeating->address()
+                                : Address{ "127.0.0.1", target.listener->port() };
+    }
+
     void publishTargets()
     {
         auto list = makeRef<TargetList>();
@@ -178,8 +194,7 @@
             it.id = "t" + std::to_string(i);
             it.service = "s";
             const Target &target = *m_targets[i];
-            it.address = target.endless ? target.endless->address()
-                                        : Address{ "127.0.0.1", target.listener->port() };
+            it.address = addressOf(target);
             it.failureDomain = "d";
             it.slots = 3;
             list->targets.push_back(it);
@@ -277,6 +292,7 @@
         m_gateway.reset();
         for (const auto &it : m_targets) {
             it->endless.reset();
+            it->repeating.reset();
             it->heldExchanges.clear();
             it->timers.clear();
         }
@@ -390,6 +406,39 @@
         CPPUNIT_ASSERT_EQUAL(1, totalRuns());
     }
 
+    void repeatedRejectionIsNotTakenForTheNextAnswer()
+    {
+        HttpResponse rejection = loadResponse();
+        rejection.status = 503;
+        rejection.headers.push_back({ "Lycheebay-Not-Run", "1" });
+        const auto bytes = [](const HttpResponse &it) {
+            return serializeResponse(it, HttpRequest{}, false);
+        };
+        m_targets.push_back(std::make_unique<Target>());
+        m_targets.back()->repeating = std::make_unique<RepeatingTarget>(
+                *m_loop, bytes(loadResponse()), bytes(rejection), bytes(loadResponse()));
+        publishTargets();
+        publishConfiguration();
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/1", "POST")).status);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/2", "POST")).status);
+        CPPUNIT_ASSERT_EQUAL(1, m_targets.back()->repeating->runs());
+    }
+
+    void rejectionAfterAnotherAnswerDoesNotProveThatARequestWasNotRun()
+    {
+        HttpResponse other = loadResponse();
+        other.headers.push_back({ kAttemptHeader, "other" });
+        HttpResponse rejection = loadResponse();
+        rejection.status = 503;
+        rejection.headers.push_back({ "Lycheebay-Not-Run", "1" });
+        const auto bytes = [](const HttpResponse &it) {
+            return serializeResponse(it, HttpRequest{}, false);
+        };
+        addEndlessTarget(bytes(other) + bytes(rejection), {});
+        publishConfiguration();
+        CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/order/1", "POST")).status);
+    }
+
     void slowIdempotentRequestIsHedged()
     {
         publishConfiguration(5s);
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -59,6 +59,8 @@
     bool isOpen() const { return !m_closed; }
     bool isConnected() const { return m_connected; }
     bool isBusy() const { return static_cast<bool>(m_done); }
+    /// True if a response to another request was dropped in the current or last exchange.
+    bool hasDroppedResponses() const { return m_droppedResponses > 0; }
     /// When the last bytes came; the epoch before the first ones.
     TimePoint lastReadAt() const { return m_lastReadAt; }
     /// True if an idle connection may carry a further request: it was used less than \a maxIdle
