Test that an answer which ends early is never taken for complete

Reported by operators of similar systems: a target stopped in the middle of its answer's head, and callers got a 200 with an empty body. Cause: none here; the client connection takes a response without a length only after a complete head, and any other only when all of it is there. Change: a test cuts four forms of answer after every byte.

--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(silentServerIsNoticedByTheCaller);
     CPPUNIT_TEST(responseOfAnotherRequestIsDropped);
     CPPUNIT_TEST(extraBytesEndTheConnection);
+    CPPUNIT_TEST(answerThatEndsEarlyIsNotTakenForComplete);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(requestOfACallerThatHasLeftIsDropped);
     CPPUNIT_TEST(droppedRequestEndsItsConnection);
@@ -39,20 +40,24 @@
     }
 
     /// Accepts one connection and answers its first bytes with \a reply, whatever they are.
-    Address serveRaw(std::string reply)
+    Address serveRaw(std::string reply, bool closes = false)
     {
         auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(
                 m_loop.context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop.context);
-        acceptor->async_accept(*socket, [acceptor, socket, reply](asio::error_code) {
+        acceptor->async_accept(*socket, [acceptor, socket, reply, closes](asio::error_code) {
             auto buffer = std::make_shared<std::array<char, 4096>>();
-            socket->async_read_some(
-                    asio::buffer(*buffer), [socket, buffer, reply](asio::error_code, std::size_t) {
-                        asio::write(*socket, asio::buffer(reply));
-                        // Stays open: its only reference is kept by a read that never ends.
-                        socket->async_read_some(asio::buffer(*buffer),
-                                                [socket, buffer](asio::error_code, std::size_t) {});
-                    });
+            socket->async_read_some(asio::buffer(*buffer), [socket, buffer, reply,
+                                                            closes](asio::error_code, std::size_t) {
+                asio::write(*socket, asio::buffer(reply));
+                if (closes) {
+                    socket->close();
+                    return;
+                }
+                // Stays open: its only reference is kept by a read that never ends.
+                socket->async_read_some(asio::buffer(*buffer),
+                                        [socket, buffer](asio::error_code, std::size_t) {});
+            });
         });
         return { "127.0.0.1", acceptor->local_endpoint().port() };
     }
@@ -173,6 +178,30 @@
         CPPUNIT_ASSERT(!connection->isOpen());
     }
 
+    // Each answer is cut after every byte of it, and the server closes.
+    void answerThatEndsEarlyIsNotTakenForComplete()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nResponse-Seal: x\r\n";
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const std::string answers[] = {
+            head + "Content-Length: 4\r\n\r\nbody",
+            head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            interim + head + "Content-Length: 0\r\n\r\n",
+            head + "Connection: close\r\n\r\n",
+        };
+        for (const std::string &answer : answers) {
+            for (std::size_t n = 0; n <= answer.size(); ++n) {
+                std::optional<TransferResult> result;
+                const Connection connection = connect(serveRaw(answer.substr(0, n), true));
+                connection->send(get("/"), false, nullptr,
+                                 [&](TransferResult it, const HttpResponse &) { result = it; });
+                CPPUNIT_ASSERT(m_loop.runUntil([&] { return result.has_value(); }));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.substr(0, n), n == answer.size(),
+                                             *result == TransferResult::Answered);
+            }
+        }
+    }
+
     void callerThatLeavesIsNoticed()
     {
         bool asked = false;
