--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -1,10 +1,10 @@
 #include "gateway/gateway.h"
 #include "base/seededrandom.h"
 #include "gateway/lycheebayprotocol.h"
-#include "gateway/tests/repeatingtarget.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
 #include "http/tests/loopfixture.h"
+#include "http/tests/rawserver.h"
 
 #include <asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -75,7 +75,7 @@
         std::unique_ptr<HttpListener> listener;
         /// Takes the place of the listener if set.
         std::unique_ptr<EndlessServer> endless;
-        std::unique_ptr<RepeatingTarget> repeating;
+        std::unique_ptr<RawServer> raw;
         Behaviour behaviour = Behaviour::Answer;
         Duration delay{};
         int runs = 0;
@@ -114,9 +114,7 @@
         HttpResponse response = load;
         switch (target.behaviour) {
         case Behaviour::Reject:
-            response.status = 503;
-            response.headers.push_back({ "Lycheebay-Not-Run", "1" });
-            exchange->respond(response);
+            exchange->respond(rejection());
             return;
         case Behaviour::CloseConnection:
             ++target.runs;
@@ -150,6 +148,19 @@
         return response;
     }
 
+    static HttpResponse rejection()
+    {
+        HttpResponse response = loadResponse();
+        response.status = 503;
+        response.headers.push_back({ "Lycheebay-Not-Run", "1" });
+        return response;
+    }
+
+    static std::string serialized(const HttpResponse &response)
+    {
+        return serializeResponse(response, HttpRequest{}, false);
+    }
+
     Target &addTarget(Behaviour behaviour)
     {
         m_targets.push_back(std::make_unique<Target>());
@@ -172,8 +183,7 @@
         m_targets.push_back(std::make_unique<Target>());
         m_targets.back()->endless =
                 std::make_unique<EndlessServer>(*m_loop, start, repeated, pause);
-        m_targets.back()->endless->answer("GET /health",
-                                          serializeResponse(loadResponse(), HttpRequest{}, false));
+        m_targets.back()->endless->answer("GET /health", serialized(loadResponse()));
         publishTargets();
         return *m_targets.back()->endless;
     }
@@ -182,8 +192,7 @@
     {
         if (target.endless)
             return target.endless->address();
-        return target.repeating ? target.repeating->address()
-                                : Address{ "127.0.0.1", target.listener->port() };
+        return target.raw ? target.raw->address() : Address{ "127.0.0.1", target.listener->port() };
     }
 
     void publishTargets()
@@ -292,7 +301,7 @@
         m_gateway.reset();
         for (const auto &it : m_targets) {
             it->endless.reset();
-            it->repeating.reset();
+            it->raw.reset();
             it->heldExchanges.clear();
             it->timers.clear();
         }
@@ -408,33 +417,33 @@
 
     void repeatedRejectionIsNotTakenForTheNextAnswer()
     {
-        HttpResponse rejection = loadResponse();
-        rejection.status = 503;
-        rejection.headers.push_back({ "Lycheebay-Not-Run", "1" });
-        const auto bytes = [](const HttpResponse &it) {
-            return serializeResponse(it, HttpRequest{}, false);
-        };
-        m_targets.push_back(std::make_unique<Target>());
-        m_targets.back()->repeating = std::make_unique<RepeatingTarget>(
-                *m_loop, bytes(loadResponse()), bytes(rejection), bytes(loadResponse()));
+        int runs = 0;
+        std::optional<int> rejectedOn;
+        Target &target = *m_targets.emplace_back(std::make_unique<Target>());
+        target.raw = std::make_unique<RawServer>(
+                *m_loop, [&](std::string_view bytes, int connection) -> std::string {
+                    if (bytes.starts_with("GET /health"))
+                        return serialized(loadResponse());
+                    if (!rejectedOn) {
+                        rejectedOn = connection;
+                        return serialized(rejection());
+                    }
+                    ++runs;
+                    const std::string answer = serialized(loadResponse());
+                    return connection == *rejectedOn ? serialized(rejection()) + answer : answer;
+                });
         publishTargets();
         publishConfiguration();
         CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/1", "POST")).status);
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/2", "POST")).status);
-        CPPUNIT_ASSERT_EQUAL(1, m_targets.back()->repeating->runs());
+        CPPUNIT_ASSERT_EQUAL(1, runs);
     }
 
     void rejectionAfterAnotherAnswerDoesNotProveThatARequestWasNotRun()
     {
         HttpResponse other = loadResponse();
         other.headers.push_back({ kAttemptHeader, "other" });
-        HttpResponse rejection = loadResponse();
-        rejection.status = 503;
-        rejection.headers.push_back({ "Lycheebay-Not-Run", "1" });
-        const auto bytes = [](const HttpResponse &it) {
-            return serializeResponse(it, HttpRequest{}, false);
-        };
-        addEndlessTarget(bytes(other) + bytes(rejection), {});
+        addEndlessTarget(serialized(other) + serialized(rejection()), {});
         publishConfiguration();
         CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/order/1", "POST")).status);
     }
