--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -181,7 +181,7 @@
     // Each answer is cut after every byte of it, and the server closes.
     void answerThatEndsEarlyIsNotTakenForComplete()
     {
-        const std::string head = "HTTP/1.1 200 OK\r\nResponse-Seal: x\r\n";
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Kept: yes\r\n";
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         const std::string answers[] = {
             head + "Content-Length: 4\r\n\r\nbody",
