--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -219,8 +219,7 @@
     const ResponseMetadata metadata = m_context.protocol.readResponseMetadata(response);
     const bool rejected = metadata.notRun || metadata.wrongTarget;
     if (rejected && metadata.attemptId.empty()) {
-        // A faulty target may send the rejection again, which could not be told from the answer to
-        // the next request.
+        // A faulty target may send the rejection again where the next answer is expected.
         attempt->connection->close();
         if (attempt->connection->hasDroppedResponses()) {
             finishAttempt(attempt, AttemptResult::Failed, std::nullopt);
