--- a/src/gateway/retrylimiter.h
+++ b/src/gateway/retrylimiter.h
@@ -36,8 +36,8 @@
 };
 
 /// Enforces one instance's part of a RetryBudget without communication between instances: the ratio
-/// applies to the requests that the instance received in the last window, and the slack is divided
-/// evenly. Does no I/O. Not thread-safe. `now` must not decrease.
+/// applies to the requests that the instance received in the last window and in its last quarter,
+/// and the slack is divided evenly. Does no I/O. Not thread-safe. `now` must not decrease.
 class RetryLimiter
 {
 public:
