Keep known lists when the reader does not know them yet

Cause: an instance that started last and was chosen as the reader sent an update before it had read the list of instances. The frame had no list, which the followers could not tell from an empty one; they published it in place of their own, chose themselves as readers of nobody, and read the list again only after the next change of the group. Change: a frame says of the targets and of the instances whether its sender knows them, and both ends keep a list that was never received apart from an empty one. The same holds for the targets, whose list and position were adopted in the same way.

--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -76,12 +76,13 @@
     /// Unknown until the first list of instances is available.
     enum class Role { Unknown, Reader, Follower };
 
-    /// State that was last sent or received on a link.
+    /// State that was last sent or received on a link. A list is null until it was sent or received
+    /// once: the sender does not know it yet, which is different from an empty list.
     struct SyncedState
     {
         std::uint64_t operatorRecordsPosition = 0;
-        std::vector<TargetRecord> targets;
-        std::vector<GatewayInstance> instances;
+        std::optional<std::vector<TargetRecord>> targets;
+        std::optional<std::vector<GatewayInstance>> instances;
     };
 
     void chooseReader();
@@ -119,9 +120,11 @@
     void readWhatUpdatesBrought();
     void publish(const IntrusivePtr<const TargetList> &targets);
     void publish(const IntrusivePtr<const InstanceList> &instances);
-    /// Publishes the state received from the reader, which read the list of targets up to
-    /// \a targetsPosition.
+    /// Publishes the lists received from the reader, which read the list of targets up to
+    /// \a targetsPosition. A list that was never received does not replace the known one.
     void publishReceived(std::uint64_t targetsPosition);
+    void publishReceivedTargets(std::uint64_t targetsPosition);
+    void publishReceivedInstances();
     void sendUpdates();
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -5,6 +5,20 @@
 
 namespace lycheebay {
 
+namespace {
+
+template <typename T>
+void applyReceived(std::optional<std::vector<T>> &list, const std::optional<ListDiff<T>> &diff)
+{
+    if (!diff)
+        return;
+    if (!list)
+        list.emplace();
+    applyDiff(*list, *diff);
+}
+
+} // namespace
+
 void EstateCoordinator::publish(const IntrusivePtr<const InstanceList> &instances)
 {
     const auto current = m_blackboard.instances.read();
@@ -45,11 +59,13 @@
     update.targetsPosition = m_source.targetsPosition();
     sent.operatorRecordsPosition = update.operatorRecords.position;
     if (const auto targets = m_blackboard.targets.read()) {
-        update.targets = computeDiff(sent.targets, targets->targets);
+        update.targets =
+                computeDiff(sent.targets.value_or(std::vector<TargetRecord>()), targets->targets);
         sent.targets = targets->targets;
     }
     if (const auto instances = m_blackboard.instances.read()) {
-        update.instances = computeDiff(sent.instances, instances->instances);
+        update.instances = computeDiff(sent.instances.value_or(std::vector<GatewayInstance>()),
+                                       instances->instances);
         sent.instances = instances->instances;
     }
     if (const auto shares = m_blackboard.localShares.read())
@@ -73,8 +89,7 @@
     const auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
-    if (!update->targets.upserted.empty() || !update->instances.upserted.empty()
-        || !update->operatorRecords.records.empty())
+    if (update->targets || update->instances || !update->operatorRecords.records.empty())
         return absl::InvalidArgumentError("update from an instance that is not the reader");
     OverflowCounts counts;
     counts.placed = update->placed;
@@ -110,8 +125,8 @@
     if (!update.ok())
         return update.status();
     m_source.applyOperatorRecords(update->operatorRecords);
-    applyDiff(m_received.targets, update->targets);
-    applyDiff(m_received.instances, update->instances);
+    applyReceived(m_received.targets, update->targets);
+    applyReceived(m_received.instances, update->instances);
     // This instance has read a newer state itself; a later update will be newer than that.
     if (m_asOf && update->asOf < *m_asOf)
         return absl::OkStatus();
@@ -128,19 +143,31 @@
 void EstateCoordinator::publishReceived(std::uint64_t targetsPosition)
 {
     // Most updates change nothing; the lists are then not copied.
+    if (m_received.targets)
+        publishReceivedTargets(targetsPosition);
+    if (m_received.instances)
+        publishReceivedInstances();
+}
+
+void EstateCoordinator::publishReceivedTargets(std::uint64_t targetsPosition)
+{
     auto targets = m_blackboard.targets.read();
-    if (!targets || targets->targets != m_received.targets) {
+    if (!targets || targets->targets != *m_received.targets) {
         auto list = makeRef<TargetList>();
-        list->targets = m_received.targets;
+        list->targets = *m_received.targets;
         targets = IntrusivePtr<const TargetList>(list);
     }
     m_source.adoptTargets(*targets, targetsPosition);
     publish(targets);
+}
+
+void EstateCoordinator::publishReceivedInstances()
+{
     const auto instances = m_blackboard.instances.read();
-    if (instances && instances->instances == m_received.instances)
+    if (instances && instances->instances == *m_received.instances)
         return;
     auto list = makeRef<InstanceList>();
-    list->instances = m_received.instances;
+    list->instances = *m_received.instances;
     publish(IntrusivePtr<const InstanceList>(list));
 }
 
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -124,21 +124,28 @@
 absl::Status decodeLists(const relaywire::EstateUpdate &message, TimePoint now,
                          EstateUpdate &update)
 {
-    absl::Status status = decodeRemoved(message.removed_targets(), update.targets.removed);
+    TargetListDiff targets;
+    InstanceListDiff instances;
+    absl::Status status = decodeRemoved(message.removed_targets(), targets.removed);
     if (status.ok())
-        status = decodeRemoved(message.removed_instances(), update.instances.removed);
+        status = decodeRemoved(message.removed_instances(), instances.removed);
     if (message.targets()) {
         for (const relaywire::Target *it : *message.targets()) {
             if (status.ok())
-                status = decodeTarget(*it, now, update.targets);
+                status = decodeTarget(*it, now, targets);
         }
     }
     if (message.instances()) {
         for (const relaywire::Instance *it : *message.instances()) {
             if (status.ok())
-                status = decodeInstance(*it, update.instances);
+                status = decodeInstance(*it, instances);
         }
     }
+    // Instances of an earlier version do not say what they know.
+    if (message.targets_known() || !targets.empty())
+        update.targets = std::move(targets);
+    if (message.instances_known() || !instances.empty())
+        update.instances = std::move(instances);
     return status;
 }
 
@@ -226,6 +233,33 @@
     return target;
 }
 
+std::unique_ptr<relaywire::InstanceT> encodeInstance(const GatewayInstance &instance)
+{
+    auto encoded = std::make_unique<relaywire::InstanceT>();
+    encoded->id = instance.id;
+    encoded->host = instance.address.host;
+    encoded->port = instance.address.port;
+    encoded->failure_domain = instance.failureDomain;
+    encoded->weight = instance.weight;
+    return encoded;
+}
+
+void encodeLists(const EstateUpdate &update, TimePoint now, relaywire::EstateUpdateT &message)
+{
+    if (update.targets) {
+        message.targets_known = true;
+        for (const TargetRecord &it : update.targets->upserted)
+            message.targets.push_back(encodeTarget(it, now));
+        message.removed_targets = update.targets->removed;
+    }
+    if (update.instances) {
+        message.instances_known = true;
+        for (const GatewayInstance &it : update.instances->upserted)
+            message.instances.push_back(encodeInstance(it));
+        message.removed_instances = update.instances->removed;
+    }
+}
+
 } // namespace
 
 TargetListDiff computeDiff(const std::vector<TargetRecord> &from,
@@ -258,20 +292,8 @@
     message.operator_complete = update.operatorRecords.complete;
     for (const KeyedRecord &it : update.operatorRecords.records)
         message.operator_records.push_back(encodeRecord(it, compressor));
-    for (const TargetRecord &it : update.targets.upserted)
-        message.targets.push_back(encodeTarget(it, now));
     message.targets_position = update.targetsPosition;
-    message.removed_targets = update.targets.removed;
-    for (const GatewayInstance &it : update.instances.upserted) {
-        auto instance = std::make_unique<relaywire::InstanceT>();
-        instance->id = it.id;
-        instance->host = it.address.host;
-        instance->port = it.address.port;
-        instance->failure_domain = it.failureDomain;
-        instance->weight = it.weight;
-        message.instances.push_back(std::move(instance));
-    }
-    message.removed_instances = update.instances.removed;
+    encodeLists(update, now, message);
     for (const LocalShare &it : update.localShares) {
         auto share = std::make_unique<relaywire::LocalShareT>();
         share->home_region = it.homeRegion;
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,8 +52,9 @@
     OperatorRecords operatorRecords;
     /// Position up to which the platform's list of targets was read.
     std::uint64_t targetsPosition = 0;
-    TargetListDiff targets;
-    InstanceListDiff instances;
+    /// Null if the sender does not know the list yet.
+    std::optional<TargetListDiff> targets;
+    std::optional<InstanceListDiff> instances;
     /// The shares in force in the region, all of them.
     std::vector<LocalShare> localShares;
     /// Only in a frame to the reader, which contains nothing else: what the sender has counted
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -39,6 +39,9 @@
     CPPUNIT_TEST(onlyTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(updatesFromOtherLinksAreRejected);
     CPPUNIT_TEST(overflowOfAFollowerDecidesTheShares);
+    CPPUNIT_TEST(unknownListIsNotSentAsAnEmptyOne);
+    CPPUNIT_TEST(listThatWasNeverReceivedIsNotPublished);
+    CPPUNIT_TEST(emptyListReplacesAKnownOne);
     CPPUNIT_TEST_SUITE_END();
 
     struct FakeSource final : public IEstateSource
@@ -208,6 +211,63 @@
         m_loop.reset();
     }
 
+    // Guards against instances that name no address: the reader started last, sent an update before
+    // it knew any instance, and its followers replaced their list by an empty one (review, case 3).
+    void unknownListIsNotSentAsAnEmptyOne()
+    {
+        m_reader = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.2:80");
+        m_follower = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.1:80");
+        m_reader->source.records.apply({ 1, true, { { "config", "first", 0 } } });
+        publishLargeInstances(*m_follower);
+        const auto known = m_follower->blackboard.instances.read();
+        m_follower->coordinator.linkOpened(kLink, true, {});
+        m_reader->coordinator.linkOpened(kLink, false, {});
+        m_reader->reportTargets("t");
+        CPPUNIT_ASSERT(!m_reader->links.sent.empty());
+        deliverFrames();
+        CPPUNIT_ASSERT(*known == *m_follower->blackboard.instances.read());
+        CPPUNIT_ASSERT(m_follower->blackboard.targets.read());
+        m_reader->publishInstances({ "10.0.0.1:80", "10.0.0.2:80" });
+        m_reader->reportTargets("t");
+        deliverFrames();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                             m_follower->blackboard.instances.read()->instances.size());
+    }
+
+    // Guards against a list of targets or instances that is taken for empty because the sender does
+    // not know it.
+    void listThatWasNeverReceivedIsNotPublished()
+    {
+        makePair();
+        m_follower->blackboard.targets.publish(makeTargetList("t"));
+        EstateUpdate update;
+        update.asOf = m_loop->clock.now();
+        const std::string frame = encodeUpdate(update, m_loop->clock.now(), m_compressor);
+        CPPUNIT_ASSERT(m_follower->coordinator.frameReceived(kLink, frame).ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                             m_follower->blackboard.instances.read()->instances.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             m_follower->blackboard.targets.read()->targets.size());
+        CPPUNIT_ASSERT(m_follower->source.adopted.empty());
+    }
+
+    // Guards against a list that stays although the reader knows that its last element has gone.
+    void emptyListReplacesAKnownOne()
+    {
+        makePair();
+        m_reader->reportTargets("t");
+        deliverFrames();
+        m_reader->coordinator.targetsRead(makeRef<const TargetList>(), m_loop->clock.now(), true);
+        deliverFrames();
+        CPPUNIT_ASSERT(m_follower->blackboard.targets.read()->targets.empty());
+        // A follower that links later learns that the list is empty.
+        m_reader->coordinator.linkClosed(kLink);
+        m_reader->coordinator.linkOpened(kLink, false, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
+        const auto update = decodeUpdate(m_reader->links.sent[0].second, m_loop->clock.now());
+        CPPUNIT_ASSERT(update.ok() && update->targets && update->targets->empty());
+    }
+
     void updatesAreDecodedAsEncoded()
     {
         const TimePoint now = m_loop->clock.now();
@@ -215,8 +275,8 @@
             now - 120ms,
             { 42, true, { { "config", std::string(5000, 'x'), 40 }, { "drain/d", {}, 41 } } },
             77,
-            { makeTargetList("t")->targets, { "old" } },
-            { { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } },
+            TargetListDiff{ makeTargetList("t")->targets, { "old" } },
+            InstanceListDiff{ { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } },
             { { "home", 0.25 } },
             9,
             { { "far", 4, 5 } }
@@ -232,9 +292,9 @@
     void malformedFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
-        const std::string good =
-                encodeUpdate({ now, {}, 0, { makeTargetList("t")->targets, {} }, {}, {}, 0, {} },
-                             now, m_compressor);
+        const std::string good = encodeUpdate(
+                { now, {}, 0, TargetListDiff{ makeTargetList("t")->targets, {} }, {}, {}, 0, {} },
+                now, m_compressor);
         CPPUNIT_ASSERT(!decodeUpdate("", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate(std::string_view(good).substr(0, good.size() / 2), now).ok());
@@ -275,7 +335,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
         const auto update = decodeUpdate(m_reader->links.sent[0].second, m_loop->clock.now());
         CPPUNIT_ASSERT(update.ok());
-        CPPUNIT_ASSERT(!update->instances.upserted.empty());
+        CPPUNIT_ASSERT(update->instances && !update->instances->upserted.empty());
     }
 
     // Guards against an instance that does not learn that it is the new reader, because the former
