Refuse requests that crash the targets which run them

Cause: a lost connection says nothing about the request in the gateway, so each attempt had its retry. lycheebayd has CrashSuspects for this; the gateway did not use it. Change: CrashMonitor connects lost attempts with CrashSuspects. Targets that are full may reset connections, so a loss counts as a crash only if the target then refuses connections or another incarnation answers there, and not if it has answered others meanwhile. A suspect gets no retry and no hedge and runs alone; after two crashes the request is refused for 60 s, also when it may not run twice. Suspects travel to the reader of the region and to its other followers in frames of their own. CrashSuspects counts a crash from the loss of the run, since the gateway learns of it later. Paths: attempts here, hedges, requests behind another instance (that one sends the attempts and records them). Not covered: each region learns for itself, and an instance that starts learns only of later crashes.

--- a/src/entry/internal/suspectregistry.cpp
+++ b/src/entry/internal/suspectregistry.cpp
@@ -44,7 +44,8 @@
     SharedSuspect shared;
     {
         const std::lock_guard lock(m_mutex);
-        shared = m_suspects.recordCrash(fingerprint, homeRegions, attemptBegan, m_clock.now());
+        const TimePoint now = m_clock.now();
+        shared = m_suspects.recordCrash(fingerprint, homeRegions, { attemptBegan, now }, now);
     }
     if (shared.crashCount == 0)
         return;
--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -3,6 +3,7 @@
 #include "base/iclock.h"
 #include "base/intrusiveptr.h"
 #include "estate/address.h"
+#include "outcomes/crashsuspects.h"
 
 #include <string>
 #include <vector>
@@ -97,6 +98,12 @@
     std::vector<RegionOverflow> regions;
 };
 
+/// Requests that are suspected of crashing targets.
+struct CrashSuspectList : RefCounted
+{
+    std::vector<SharedSuspect> suspects;
+};
+
 /// Share of the callers in this region that stay here although \a homeRegion serves some of their
 /// requests.
 struct LocalShare
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,8 +34,9 @@
     , m_blackboard(blackboard)
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
-    , m_context{ context, timers, clock,      random,           protocol,
-                 metrics, m_log,  m_overflow, m_settings.region }
+    , m_crashes(context, timers, clock, protocol, blackboard, m_log)
+    , m_context{ context, timers, clock,      random,    protocol,
+                 metrics, m_log,  m_overflow, m_crashes, m_settings.region }
     , m_instanceConnections(context, timers, clock)
     , m_listener(context, timers, clock,
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,6 +106,7 @@
     GatewayMetrics &m_metrics;
     DecisionLog m_log;
     OverflowCounter m_overflow;
+    CrashMonitor m_crashes;
     GatewayContext m_context;
     InstanceConnections m_instanceConnections;
     HttpListener m_listener;
--- /dev/null
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -0,0 +1,182 @@
+#include "gateway/internal/crashmonitor.h"
+
+#include "base/hash.h"
+#include "http/httpserialization.h"
+
+#include <fmt/format.h>
+
+namespace lycheebay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A process that is ending may still accept connections for a moment.
+constexpr Duration kCheckDelay = milliseconds(150);
+// A response that the target sent before its crash may be read shortly after it.
+constexpr Duration kAnswerMargin = milliseconds(20);
+constexpr int kMaxChecks = 4;
+constexpr std::size_t kMaxConcurrentChecks = 64;
+constexpr ClientConnectionTimeouts kCheckTimeouts{ milliseconds(250), milliseconds(250), {} };
+// A refusal that is wrong, because targets failed by chance, must not last long.
+constexpr SuspectLimits kLimits{ 10'000, seconds(60), seconds(10), seconds(60) };
+
+} // namespace
+
+Fingerprint fingerprintOf(const HttpRequest &request)
+{
+    const std::string *host = findHeader(request.headers, "Host");
+    const Fingerprint head = hash64(fmt::format("{}\n{}\n{}", request.method,
+                                                host ? *host : std::string(), request.target));
+    return hash64(request.body, head);
+}
+
+/// An attempt whose target is being checked.
+struct CrashMonitor::LostAttempt final : RefCounted
+{
+    Fingerprint fingerprint = 0;
+    TimePoint began;
+    TimePoint lostAt;
+    IntrusivePtr<TargetConnections> target;
+    std::string healthPath;
+    IntrusivePtr<HttpClientConnection> connection;
+    TimerSubscription timer;
+    int checks = 0;
+};
+
+CrashMonitor::CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                           const ITargetProtocol &protocol, GatewayBlackboard &blackboard,
+                           DecisionLog &log)
+    : m_context(context)
+    , m_timers(timers)
+    , m_clock(clock)
+    , m_protocol(protocol)
+    , m_blackboard(blackboard)
+    , m_log(log)
+    , m_suspects(kLimits)
+{
+    m_blackboard.peerCrashSuspects.subscribe(
+            [this](const IntrusivePtr<const CrashSuspectList> &list) {
+                for (const SharedSuspect &it : list->suspects)
+                    m_suspects.mergeFromPeer(it, m_clock.now());
+            });
+}
+
+CrashMonitor::~CrashMonitor()
+{
+    for (const IntrusivePtr<LostAttempt> &it : m_checks) {
+        it->timer.reset();
+        if (it->connection)
+            it->connection->close();
+    }
+}
+
+Admission CrashMonitor::admit(Fingerprint fingerprint)
+{
+    return m_suspects.admit(fingerprint, m_clock.now());
+}
+
+Duration CrashMonitor::refusedFor(Fingerprint fingerprint) const
+{
+    return m_suspects.refusedFor(fingerprint, m_clock.now());
+}
+
+bool CrashMonitor::isSuspected(Fingerprint fingerprint)
+{
+    return m_suspects.isSuspected(fingerprint, m_clock.now());
+}
+
+void CrashMonitor::recordResponse(Fingerprint fingerprint)
+{
+    m_suspects.recordResponse(fingerprint, m_clock.now());
+}
+
+void CrashMonitor::recordLostAttempt(Fingerprint fingerprint, TimePoint began,
+                                     const IntrusivePtr<TargetConnections> &target,
+                                     const std::string &healthPath)
+{
+    // Very many attempts are lost together only when a failure domain fails.
+    if (m_checks.size() >= kMaxConcurrentChecks)
+        return;
+    auto attempt = makeRef<LostAttempt>();
+    attempt->fingerprint = fingerprint;
+    attempt->began = began;
+    attempt->lostAt = m_clock.now();
+    attempt->target = target;
+    attempt->healthPath = healthPath;
+    m_checks.push_back(attempt);
+    scheduleCheck(attempt);
+}
+
+void CrashMonitor::scheduleCheck(const IntrusivePtr<LostAttempt> &attempt)
+{
+    // The copy outlives the timer, which is replaced during the call.
+    attempt->timer = m_timers.after(kCheckDelay,
+                                    [this, attempt] { check(IntrusivePtr<LostAttempt>(attempt)); });
+}
+
+void CrashMonitor::check(const IntrusivePtr<LostAttempt> &attempt)
+{
+    const bool hasAnswered = attempt->target->lastAnswerAt() > attempt->lostAt + kAnswerMargin;
+    if (hasAnswered || ++attempt->checks > kMaxChecks) {
+        endCheck(attempt);
+        return;
+    }
+    const TargetRecord &target = attempt->target->record();
+    attempt->connection = makeRef<HttpClientConnection>(m_context, m_timers, m_clock,
+                                                        target.address, kCheckTimeouts);
+    attempt->timer = m_timers.after(kCheckTimeouts.connect, [this, attempt] {
+        const IntrusivePtr<LostAttempt> it = attempt;
+        it->connection->close();
+        scheduleCheck(it);
+    });
+    const HttpRequest request{
+        "GET", attempt->healthPath, { { "Host", target.address.toString() } }, {}
+    };
+    attempt->connection->send(serializeRequest(request), false, nullptr,
+                              [this, attempt](TransferResult result, const HttpResponse &response) {
+                                  checkEnded(IntrusivePtr<LostAttempt>(attempt), result, response);
+                              });
+}
+
+void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt)
+{
+    attempt->timer.reset();
+    std::erase(m_checks, attempt);
+}
+
+void CrashMonitor::checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
+                              const HttpResponse &response)
+{
+    const bool refused = attempt->connection->isRefused();
+    attempt->connection->close();
+    bool hasCrashed = refused;
+    if (result == TransferResult::Answered) {
+        const std::string id = m_protocol.readResponseMetadata(response).targetId;
+        hasCrashed = !id.empty() && id != attempt->target->record().id;
+    } else if (!refused) {
+        scheduleCheck(attempt);
+        return;
+    }
+    endCheck(attempt);
+    if (hasCrashed)
+        recordCrash(*attempt);
+}
+
+void CrashMonitor::recordCrash(const LostAttempt &attempt)
+{
+    const SharedSuspect suspect = m_suspects.recordCrash(
+            attempt.fingerprint, {}, { attempt.began, attempt.lostAt }, m_clock.now());
+    if (suspect.crashCount == 0)
+        return;
+    LogFields fields("crash_suspected");
+    fields.add("fingerprint", fmt::format("{:016x}", attempt.fingerprint));
+    fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
+    m_log.write(fields);
+    auto list = makeRef<CrashSuspectList>();
+    list->suspects = { suspect };
+    m_blackboard.crashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
+}
+
+} // namespace lycheebay
--- /dev/null
+++ b/src/gateway/internal/crashmonitor.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "gateway/gatewayblackboard.h"
+#include "gateway/internal/decisionlog.h"
+#include "gateway/internal/targetconnections.h"
+#include "gateway/itargetprotocol.h"
+#include "outcomes/crashsuspects.h"
+
+namespace lycheebay {
+
+/// Returns the fingerprint by which repeats of a caller's request are recognized, on every instance
+/// alike. Thread-safe.
+Fingerprint fingerprintOf(const HttpRequest &request);
+
+/// Recognizes requests that crash the targets which run them, and shares them with the other
+/// instances of the region. A lost connection alone is no crash, since some targets reset
+/// connections when they are full: the target must then refuse connections, or another incarnation
+/// must answer at its address. Not thread-safe: use it on the event loop.
+class CrashMonitor final
+{
+public:
+    /// Precondition: the references outlive the monitor.
+    CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
+                 const ITargetProtocol &protocol, GatewayBlackboard &blackboard, DecisionLog &log);
+    ~CrashMonitor();
+    CrashMonitor(const CrashMonitor &) = delete;
+    CrashMonitor &operator=(const CrashMonitor &) = delete;
+
+    /// Decides whether a request may run. Call release() after a run that is admitted as Exclusive.
+    Admission admit(Fingerprint fingerprint);
+    void release(Fingerprint fingerprint) { m_suspects.release(fingerprint); }
+    /// Time for which the request is refused; zero if it is not.
+    Duration refusedFor(Fingerprint fingerprint) const;
+    /// True if the request is suspected of a crash and must not be retried.
+    bool isSuspected(Fingerprint fingerprint);
+    /// Reports that a target ran the request and responded.
+    void recordResponse(Fingerprint fingerprint);
+    /// Reports that the connection of an attempt that began at \a began was lost before any byte of
+    /// the response. Checks shortly afterwards, by \a healthPath, whether the target has crashed.
+    void recordLostAttempt(Fingerprint fingerprint, TimePoint began,
+                           const IntrusivePtr<TargetConnections> &target,
+                           const std::string &healthPath);
+
+private:
+    struct LostAttempt;
+
+    void scheduleCheck(const IntrusivePtr<LostAttempt> &attempt);
+    void check(const IntrusivePtr<LostAttempt> &attempt);
+    void endCheck(const IntrusivePtr<LostAttempt> &attempt);
+    void checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
+                    const HttpResponse &response);
+    void recordCrash(const LostAttempt &attempt);
+
+    asio::io_context &m_context;
+    ITimerService &m_timers;
+    const IClock &m_clock;
+    const ITargetProtocol &m_protocol;
+    GatewayBlackboard &m_blackboard;
+    DecisionLog &m_log;
+    CrashSuspects m_suspects;
+    std::vector<IntrusivePtr<LostAttempt>> m_checks;
+};
+
+} // namespace lycheebay
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -3,6 +3,7 @@
 #include "base/irandomsource.h"
 #include "base/itimerservice.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/internal/crashmonitor.h"
 #include "gateway/internal/decisionlog.h"
 #include "gateway/internal/overflowcounter.h"
 #include "gateway/itargetprotocol.h"
@@ -23,6 +24,7 @@
     GatewayMetrics &metrics;
     DecisionLog &log;
     OverflowCounter &overflow;
+    CrashMonitor &crashes;
     /// Region of this instance.
     std::string region;
 };
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -78,6 +78,7 @@
     , m_route(route)
     , m_dispatcher(dispatcher)
     , m_requestMetadata(metadata)
+    , m_fingerprint(fingerprintOf(m_exchange->request()))
     , m_forwarder(makeRef<RequestForwarder>(context, dispatcher.dispatcherSelector(),
                                             instanceConnections, metadata.attemptId))
     , m_isForwarded(isForwarded(m_exchange->request()))
@@ -102,6 +103,8 @@
 void ProxiedRequest::start()
 {
     const IntrusivePtr<ProxiedRequest> self(this);
+    if (!admit())
+        return;
     m_exchange->onCallerGone([self] { self->callerDisconnected(); });
     const Duration left = m_queuedRequest.deadline - m_context.clock.now();
     m_deadlineTimer = m_context.timers.after(std::max(left, Duration::zero()),
@@ -219,12 +222,15 @@
     }
     m_reachedTarget = true;
     if (result != TransferResult::Answered) {
+        recordLoss(attempt);
         finishAttempt(attempt, AttemptResult::Failed, std::nullopt);
         handleFailure(result == TransferResult::Lost ? "connection_lost" : "malformed_answer");
         return;
     }
     const ResponseMetadata metadata = m_context.protocol.readResponseMetadata(response);
     const bool rejected = metadata.notRun || metadata.wrongTarget;
+    if (!metadata.wrongTarget)
+        attempt->targetConnections->recordAnswer(m_context.clock.now());
     if (rejected && metadata.attemptId.empty()) {
         // A faulty target may send the rejection again where the next answer is expected.
         attempt->connection->close();
@@ -245,6 +251,7 @@
                                     const ResponseMetadata &metadata)
 {
     m_executionState = ExecutionState::MayHaveRun;
+    m_context.crashes.recordResponse(m_fingerprint);
     const Duration elapsed = elapsedSince(attempt->sentAt);
     const bool success =
             response.status >= httpstatus::kOk && response.status < httpstatus::kFirstError;
@@ -425,6 +432,8 @@
 void ProxiedRequest::end()
 {
     m_ended = true;
+    if (std::exchange(m_runsExclusively, false))
+        m_context.crashes.release(m_fingerprint);
     // The timer and the exchange hold references to this request.
     m_deadlineTimer.reset();
     m_exchange->onCallerGone(nullptr);
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -32,6 +32,7 @@
                    ServiceDispatcher &dispatcher, InstanceConnections &instanceConnections,
                    const RequestMetadata &metadata, Duration previousWait);
 
+    /// Queues or forwards the request, or refuses it if it is suspected of crashing targets.
     void start();
 
     void onPlaced(const Placement &placement,
@@ -52,6 +53,9 @@
     /// Queues the request again after other dispatchers had no room for it.
     void stay();
     void countPlacement();
+    /// Refuses the request if it may not run now; returns true if it may.
+    bool admit();
+    void recordLoss(const AttemptPtr &attempt);
     void enqueue();
     void leaveQueue();
     void cancelRetryReservation();
@@ -100,6 +104,7 @@
     const Route &m_route;
     ServiceDispatcher &m_dispatcher;
     const RequestMetadata m_requestMetadata;
+    const Fingerprint m_fingerprint;
     const IntrusivePtr<RequestForwarder> m_forwarder;
     /// Another instance forwarded the request to this one.
     const bool m_isForwarded;
@@ -117,6 +122,8 @@
     bool m_queued = false;
     /// The queued attempt has a reservation of the retry limiter.
     bool m_retryReserved = false;
+    /// The only run of a request that is suspected of a crash.
+    bool m_runsExclusively = false;
     bool m_callerDisconnected = false;
     bool m_ended = false;
 };
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -33,6 +33,7 @@
     switch (outcome) {
     case ForwardOutcome::Response:
         m_executionState = ExecutionState::MayHaveRun;
+        m_context.crashes.recordResponse(m_fingerprint);
         if (response.status < httpstatus::kFirstError
             && !m_context.protocol.readResponseMetadata(response).sealed) {
             fail(httpstatus::kBadGateway, "unsealed_answer");
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -1,9 +1,17 @@
 #include "gateway/internal/proxiedrequest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheebay {
 
+namespace {
+
+// Retry-After of a suspected request while another run of it is in progress.
+constexpr Duration kMinSuspectRetryAfter = std::chrono::milliseconds(200);
+
+} // namespace
+
 void ProxiedRequest::hedgeDelayEnded(const AttemptPtr &attempt)
 {
     if (attempt->ended || m_queued)
@@ -11,10 +19,31 @@
     tryAgain("slow_answer");
 }
 
+bool ProxiedRequest::admit()
+{
+    const Admission admission = m_context.crashes.admit(m_fingerprint);
+    m_runsExclusively = admission == Admission::Exclusive;
+    if (m_runsExclusively || admission == Admission::Unrestricted)
+        return true;
+    refuse("crash_suspect",
+           std::max(m_context.crashes.refusedFor(m_fingerprint), kMinSuspectRetryAfter));
+    return false;
+}
+
+void ProxiedRequest::recordLoss(const AttemptPtr &attempt)
+{
+    const bool hasBytes = attempt->connection->lastReadAt() >= attempt->sentAt;
+    if (!hasBytes) {
+        m_context.crashes.recordLostAttempt(m_fingerprint, attempt->sentAt,
+                                            attempt->targetConnections, m_dispatcher.healthPath());
+    }
+}
+
 bool ProxiedRequest::mayTryAgain() const
 {
-    return !m_ended && !m_callerDisconnected && m_attempts < m_route.maxAttempts
-           && m_context.clock.now() < m_queuedRequest.deadline;
+    // A request that has crashed a target might crash the next one.
+    return !m_ended && !m_context.crashes.isSuspected(m_fingerprint) && !m_callerDisconnected
+           && m_attempts < m_route.maxAttempts && m_context.clock.now() < m_queuedRequest.deadline;
 }
 
 bool ProxiedRequest::tryAgain(const char *why)
--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -51,6 +51,7 @@
     DispatcherSelector &dispatcherSelector() { return m_dispatcherSelector; }
     /// Service time of a warm target at its usual speed.
     Duration baselineServiceTime() const { return m_pool.baselineServiceTime(); }
+    const std::string &healthPath() const { return m_healthPath; }
     const std::string &service() const { return m_service; }
     QueuedRequestId nextRequestId() { return ++m_lastRequestId; }
 
--- a/src/gateway/internal/targetconnections.h
+++ b/src/gateway/internal/targetconnections.h
@@ -19,6 +19,11 @@
 
     const TargetRecord &record() const { return m_record; }
 
+    /// Reports that the target has answered a request.
+    void recordAnswer(TimePoint now) { m_lastAnswerAt = now; }
+    /// When the target answered a request or probe last; the epoch if it never did.
+    TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
+
     /// Returns a new connection, or an idle one that may be reused for a request with the given
     /// execution semantics. Return it with releaseConnection().
     IntrusivePtr<HttpClientConnection> acquireConnection(ExecutionSemantics executionSemantics);
@@ -37,6 +42,7 @@
 
     ITimerService &m_timers;
     const TargetRecord m_record;
+    TimePoint m_lastAnswerAt;
     HttpConnectionPool m_connections;
     HttpConnectionPool m_probeConnections;
     IntrusivePtr<HttpClientConnection> m_probeConnection;
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -64,6 +64,9 @@
 {
     m_blackboard.instances.subscribe(
             [this](const IntrusivePtr<const InstanceList> &) { chooseReader(); });
+    m_blackboard.crashSuspects.subscribe([this](const IntrusivePtr<const CrashSuspectList> &it) {
+        sendCrashSuspects(it->suspects, std::nullopt);
+    });
 }
 
 absl::Status EstateCoordinator::start()
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -128,7 +128,11 @@
     void sendUpdates();
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
-    absl::Status followerFrameReceived(std::string_view frame);
+    absl::Status followerFrameReceived(LinkId link, std::string_view frame);
+    /// Sends suspects to the followers except \a source, and to the reader.
+    void sendCrashSuspects(const std::vector<SharedSuspect> &suspects,
+                           std::optional<LinkId> source);
+    void crashSuspectsReceived(LinkId link, const std::vector<SharedSuspect> &suspects);
     void sendOverflowToReader(const OverflowCounts &counts);
 
     ITimerService &m_timers;
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -84,13 +84,44 @@
     m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
 }
 
-absl::Status EstateCoordinator::followerFrameReceived(std::string_view frame)
+void EstateCoordinator::sendCrashSuspects(const std::vector<SharedSuspect> &suspects,
+                                          std::optional<LinkId> source)
+{
+    EstateUpdate update;
+    update.asOf = m_clock.now();
+    update.crashSuspects = suspects;
+    const std::string frame = encodeUpdate(update, m_clock.now(), m_compressor);
+    for (const auto &[link, state] : m_followers) {
+        if (link != source)
+            m_links.send(link, frame);
+    }
+    if (m_readerLink)
+        m_links.send(*m_readerLink, frame);
+}
+
+void EstateCoordinator::crashSuspectsReceived(LinkId link,
+                                              const std::vector<SharedSuspect> &suspects)
+{
+    auto list = makeRef<CrashSuspectList>();
+    list->suspects = suspects;
+    m_blackboard.peerCrashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
+    // Only the reader passes them on, so that they cannot circulate between two instances which
+    // follow each other for a moment.
+    if (m_role == Role::Reader)
+        sendCrashSuspects(suspects, link);
+}
+
+absl::Status EstateCoordinator::followerFrameReceived(LinkId link, std::string_view frame)
 {
     const auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
     if (update->targets || update->instances || !update->operatorRecords.records.empty())
         return absl::InvalidArgumentError("update from an instance that is not the reader");
+    if (!update->crashSuspects.empty()) {
+        crashSuspectsReceived(link, update->crashSuspects);
+        return absl::OkStatus();
+    }
     OverflowCounts counts;
     counts.placed = update->placed;
     counts.regions = update->overflow;
@@ -118,12 +149,16 @@
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
 {
     if (m_followers.contains(link))
-        return followerFrameReceived(frame);
+        return followerFrameReceived(link, frame);
     if (m_readerLink != link)
         return absl::InvalidArgumentError("update from an instance that is not the reader");
     const auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
+    if (!update->crashSuspects.empty()) {
+        crashSuspectsReceived(link, update->crashSuspects);
+        return absl::OkStatus();
+    }
     m_source.applyOperatorRecords(update->operatorRecords);
     applyReceived(m_received.targets, update->targets);
     applyReceived(m_received.instances, update->instances);
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -173,6 +173,21 @@
     return absl::OkStatus();
 }
 
+void decodeSuspects(const relaywire::EstateUpdate &message, EstateUpdate &update)
+{
+    // The count only tells whether a request is refused.
+    static constexpr std::uint32_t kMaxCrashCount = 100;
+    if (!message.crash_suspects())
+        return;
+    for (const relaywire::CrashSuspect *it : *message.crash_suspects()) {
+        update.crashSuspects.push_back(
+                { it->fingerprint(),
+                  static_cast<int>(std::min(it->crash_count(), kMaxCrashCount)),
+                  milliseconds(it->remaining_ms()),
+                  {} });
+    }
+}
+
 absl::Status decodeRecord(const relaywire::OperatorRecord &record, OperatorRecords &records)
 {
     if (!isValidName(record.key()))
@@ -308,6 +323,13 @@
         overflow->sent = static_cast<std::uint32_t>(it.sent);
         message.overflow.push_back(std::move(overflow));
     }
+    for (const SharedSuspect &it : update.crashSuspects) {
+        auto suspect = std::make_unique<relaywire::CrashSuspectT>();
+        suspect->fingerprint = it.fingerprint;
+        suspect->crash_count = static_cast<std::uint32_t>(it.crashCount);
+        suspect->remaining_ms = toMsRoundedUp(it.remaining);
+        message.crash_suspects.push_back(std::move(suspect));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::EstateUpdate::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
@@ -328,6 +350,7 @@
         status = decodeLists(*message, now, update);
     if (status.ok())
         status = decodeSpillover(*message, update);
+    decodeSuspects(*message, update);
     if (!status.ok())
         return status;
     return update;
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -61,6 +61,8 @@
     /// since its previous frame.
     int placed = 0;
     std::vector<RegionOverflow> overflow;
+    /// Only in a frame that contains nothing else, in either direction.
+    std::vector<SharedSuspect> crashSuspects;
 
     auto operator<=>(const EstateUpdate &) const = default;
 };
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 #include "base/seededrandom.h"
+#include "gateway/internal/crashmonitor.h"
 #include "gateway/lycheebayprotocol.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
@@ -54,6 +55,9 @@
     CPPUNIT_TEST(repeatedRejectionIsNotTakenForTheNextAnswer);
     CPPUNIT_TEST(rejectionAfterAnotherAnswerDoesNotProveThatARequestWasNotRun);
     CPPUNIT_TEST(statusOfATargetThatMayHaveRunTheRequestPromisesNothing);
+    CPPUNIT_TEST(requestThatCrashesItsTargetsIsRefused);
+    CPPUNIT_TEST(lostConnectionToARunningTargetIsNoCrash);
+    CPPUNIT_TEST(suspectOfAnotherInstanceIsRefused);
     CPPUNIT_TEST(slowIdempotentRequestIsHedged);
     CPPUNIT_TEST(slowRequestWithoutOtherTargetIsNotCancelled);
     CPPUNIT_TEST(routeTimeoutIsAnswered);
@@ -68,7 +72,7 @@
     CPPUNIT_TEST(shutdownDoesNotWaitForTheTargetList);
     CPPUNIT_TEST_SUITE_END();
 
-    enum class Behaviour { Answer, Reject, CloseConnection, Hang, SlowAnswer, Fail };
+    enum class Behaviour { Answer, Reject, CloseConnection, Hang, SlowAnswer, Fail, Crash };
 
     /// A target whose behaviour a test may change while it runs.
     struct Target
@@ -135,6 +139,14 @@
             target.timers.push_back(m_loop->timers.after(
                     target.delay, [exchange, response] { exchange->respond(response); }));
             return;
+        case Behaviour::Crash:
+            ++target.runs;
+            asio::post(m_loop->context, [&target] {
+                target.listener->stopAccepting();
+                target.listener->closeAll();
+            });
+            target.heldExchanges.push_back(exchange);
+            return;
         case Behaviour::Fail:
             ++target.runs;
             response.status = target.failureStatus;
@@ -586,6 +598,60 @@
         CPPUNIT_ASSERT_EQUAL(429, waitForResponse(sendRequest("/lookup/a")).status);
     }
 
+    void runFor(Duration span)
+    {
+        const TimePoint end = m_loop->clock.now() + span;
+        m_loop->runUntil([&] { return m_loop->clock.now() >= end; });
+    }
+
+    // Guards against a request that crashes one target after another each time it comes (review,
+    // case 4). Until the first crashes are confirmed it has its usual retry.
+    void requestThatCrashesItsTargetsIsRefused()
+    {
+        publishConfiguration();
+        for (int i = 0; i < 6; ++i)
+            addTarget(Behaviour::Crash);
+        CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/lookup/poison")).status);
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+        runFor(600ms);
+        for (int i = 0; i < 3; ++i) {
+            const HttpResponse response = waitForResponse(sendRequest("/lookup/poison"));
+            CPPUNIT_ASSERT_EQUAL(503, response.status);
+            CPPUNIT_ASSERT(std::stod(*findHeader(response.headers, "Retry-After")) > 10);
+        }
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+        // Other requests are served, and one that meets a crash by chance has its retry.
+        for (std::size_t i = 1; i < m_targets.size(); ++i)
+            m_targets[i]->behaviour = Behaviour::Answer;
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/other")).status);
+    }
+
+    // Guards against refusing requests because full targets reset connections.
+    void lostConnectionToARunningTargetIsNoCrash()
+    {
+        publishConfiguration();
+        addTarget(Behaviour::CloseConnection);
+        addTarget(Behaviour::CloseConnection);
+        for (int i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/lookup/a")).status);
+            runFor(500ms);
+        }
+        CPPUNIT_ASSERT(totalRuns() > 3);
+    }
+
+    // Guards against each instance sacrificing targets of its own to the same request.
+    void suspectOfAnotherInstanceIsRefused()
+    {
+        publishConfiguration();
+        addTarget(Behaviour::Answer);
+        const HttpRequest request{ "GET", "/lookup/a", { { "Host", "h" } }, {} };
+        auto list = makeRef<CrashSuspectList>();
+        list->suspects = { { fingerprintOf(request), 2, 30s, {} } };
+        m_blackboard->peerCrashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/a")).status);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/b")).status);
+    }
+
     // Fails if an at-most-once request is cancelled after it may have taken effect.
     void callerDisconnectDoesNotCancelAtMostOnceRequest()
     {
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -107,6 +107,7 @@
             return;
         self->m_connectTimer.reset();
         if (error) {
+            self->m_refused = error == asio::error::connection_refused;
             self->end(TransferResult::NotSent);
             return;
         }
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -58,6 +58,8 @@
     /// True until the connection ended or turned out to be unusable.
     bool isOpen() const { return !m_closed; }
     bool isConnected() const { return m_connected; }
+    /// True if the server refused the connection: no process listens at the address.
+    bool isRefused() const { return m_refused; }
     bool isBusy() const { return static_cast<bool>(m_done); }
     /// True if a response to another request was dropped in the current or last exchange.
     bool hasDroppedResponses() const { return m_droppedResponses > 0; }
@@ -92,6 +94,7 @@
     Duration m_serverIdleLimit = Duration::max();
     int m_droppedResponses = 0;
     bool m_connected = false;
+    bool m_refused = false;
     bool m_reading = false;
     bool m_writing = false;
     bool m_closed = false;
--- a/src/outcomes/crashsuspects.cpp
+++ b/src/outcomes/crashsuspects.cpp
@@ -40,17 +40,17 @@
 
 SharedSuspect CrashSuspects::recordCrash(Fingerprint fingerprint,
                                          const std::vector<std::string> &homeRegions,
-                                         TimePoint attemptBegan, TimePoint now)
+                                         const LostRun &run, TimePoint now)
 {
     if (respondedRecently(fingerprint, now))
         return {};
     Suspect *suspect = find(fingerprint, now);
-    if (suspect && attemptBegan < suspect->lastCrash)
+    if (suspect && run.began < suspect->lastCrash)
         return {};
     if (!suspect)
         suspect = &insert(fingerprint);
     suspect->crashCount = std::min(suspect->crashCount + 1, kCrashesUntilRefusal);
-    suspect->lastCrash = now;
+    suspect->lastCrash = run.lostAt;
     suspect->homeRegions = homeRegions;
     Duration remaining = m_limits.suspectRetention;
     if (suspect->crashCount >= kCrashesUntilRefusal) {
--- a/src/outcomes/crashsuspects.h
+++ b/src/outcomes/crashsuspects.h
@@ -41,6 +41,15 @@
     auto operator<=>(const SharedSuspect &) const = default;
 };
 
+/// A run whose connection was lost before any byte of the response.
+struct LostRun
+{
+    TimePoint began;
+    TimePoint lostAt;
+
+    auto operator<=>(const LostRun &) const = default;
+};
+
 enum class Admission {
     Unrestricted,   ///< not suspected
     Exclusive,      ///< suspected: admitted as the only run; release() must be called afterwards
@@ -61,12 +70,12 @@
     /// Ends a run that was admitted as Exclusive.
     void release(Fingerprint fingerprint);
 
-    /// Records a suspected crash: a connection lost before any byte of the response. An attempt
-    /// that began before the last recorded crash is not counted, because concurrent runs are lost
-    /// together when their failure domain fails. Returns the suspect to share with peers, or one
-    /// with crashCount = 0 when the crash was not counted.
+    /// Records a suspected crash. A run that began before the last recorded crash is not counted,
+    /// because concurrent runs are lost together when their failure domain fails. Returns the
+    /// suspect to share with peers, or one with crashCount = 0 when the crash was not counted.
+    /// Precondition: the run was lost at \a now or earlier.
     SharedSuspect recordCrash(Fingerprint fingerprint, const std::vector<std::string> &homeRegions,
-                              TimePoint attemptBegan, TimePoint now);
+                              const LostRun &run, TimePoint now);
     /// Records a response to the request. The request is no longer a suspect, and lost connections
     /// are not counted for the time SuspectLimits::responseRetention: a request that crashes its
     /// targets never gets a response, whereas a frequent one may lose a connection to each target
@@ -78,6 +87,11 @@
 
     /// Returns the remaining refusal time, or zero when the request is not refused.
     Duration refusedFor(Fingerprint fingerprint, TimePoint now) const;
+    /// True if the request is suspected of at least one crash.
+    bool isSuspected(Fingerprint fingerprint, TimePoint now)
+    {
+        return find(fingerprint, now) != nullptr;
+    }
     std::size_t count() const { return m_suspects.size(); }
 
 private:
--- a/src/outcomes/tests/outcomestest.cpp
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(bodiesAreEvictedBeforeKeys);
     CPPUNIT_TEST(notRunMayRunAgainAndUnknownMayNot);
     CPPUNIT_TEST(suspectRunsExclusivelyAndIsThenRefused);
+    CPPUNIT_TEST(crashIsCountedFromTheLossOfTheRun);
     CPPUNIT_TEST(runsLostTogetherCountOnce);
     CPPUNIT_TEST(answeredRequestIsNotSuspected);
     CPPUNIT_TEST(suspectsAreBounded);
@@ -158,18 +159,32 @@
         CPPUNIT_ASSERT(begin("a") == KeyState::Unknown);
     }
 
+    LostRun lostNow() const { return { m_clock.now(), m_clock.now() }; }
+
+    // Guards against a second crash that is taken for a part of the first one because the first was
+    // noticed late.
+    void crashIsCountedFromTheLossOfTheRun()
+    {
+        CrashSuspects suspects;
+        const TimePoint began = m_clock.now();
+        m_clock.advance(200ms);
+        suspects.recordCrash(1, {}, { began, began + 10ms }, m_clock.now());
+        m_clock.advance(10ms);
+        const LostRun second{ began + 11ms, began + 20ms };
+        CPPUNIT_ASSERT_EQUAL(2, suspects.recordCrash(1, {}, second, m_clock.now()).crashCount);
+    }
+
     // Guards against a request that crashes one target after another.
     void suspectRunsExclusivelyAndIsThenRefused()
     {
         CrashSuspects suspects;
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Unrestricted);
-        suspects.recordCrash(1, {}, m_clock.now(), m_clock.now());
+        suspects.recordCrash(1, {}, lostNow(), m_clock.now());
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Exclusive);
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::AlreadyRunning);
         suspects.release(1);
         m_clock.advance(1s);
-        CPPUNIT_ASSERT_EQUAL(2,
-                             suspects.recordCrash(1, {}, m_clock.now(), m_clock.now()).crashCount);
+        CPPUNIT_ASSERT_EQUAL(2, suspects.recordCrash(1, {}, lostNow(), m_clock.now()).crashCount);
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Refused);
         m_clock.advance(10min);
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Exclusive);
@@ -184,9 +199,11 @@
         CrashSuspects suspects;
         const TimePoint began = m_clock.now();
         m_clock.advance(1ms);
-        CPPUNIT_ASSERT_EQUAL(1, suspects.recordCrash(1, {}, began, m_clock.now()).crashCount);
+        CPPUNIT_ASSERT_EQUAL(
+                1, suspects.recordCrash(1, {}, { began, m_clock.now() }, m_clock.now()).crashCount);
         m_clock.advance(1ms);
-        CPPUNIT_ASSERT_EQUAL(0, suspects.recordCrash(1, {}, began, m_clock.now()).crashCount);
+        CPPUNIT_ASSERT_EQUAL(
+                0, suspects.recordCrash(1, {}, { began, m_clock.now() }, m_clock.now()).crashCount);
         CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Exclusive);
     }
 
@@ -198,14 +215,13 @@
         suspects.recordResponse(1, m_clock.now());
         for (int i = 0; i < 3; ++i) {
             m_clock.advance(1s);
-            CPPUNIT_ASSERT_EQUAL(
-                    0, suspects.recordCrash(1, {}, m_clock.now(), m_clock.now()).crashCount);
+            CPPUNIT_ASSERT_EQUAL(0,
+                                 suspects.recordCrash(1, {}, lostNow(), m_clock.now()).crashCount);
             suspects.mergeFromPeer({ 1, 2, 1min, {} }, m_clock.now());
             CPPUNIT_ASSERT(suspects.admit(1, m_clock.now()) == Admission::Unrestricted);
         }
         m_clock.advance(10s);
-        CPPUNIT_ASSERT_EQUAL(1,
-                             suspects.recordCrash(1, {}, m_clock.now(), m_clock.now()).crashCount);
+        CPPUNIT_ASSERT_EQUAL(1, suspects.recordCrash(1, {}, lostNow(), m_clock.now()).crashCount);
     }
 
     // Guards against memory use that grows with the number of distinct requests.
@@ -214,7 +230,7 @@
         CrashSuspects suspects({ .maxSuspects = 3 });
         for (Fingerprint i = 0; i < 10; ++i) {
             m_clock.advance(1ms);
-            suspects.recordCrash(i, { "sof" }, m_clock.now(), m_clock.now());
+            suspects.recordCrash(i, { "sof" }, lostNow(), m_clock.now());
         }
         suspects.mergeFromPeer({ 99, 2, 1h, {} }, m_clock.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), suspects.count());
