Learn the end of a store outage from other instances too

Cause: TargetsTopic remembers that a read failed until it reads successfully itself. An instance that got the targets from its reader since then took its own next read, many seconds later, for the end of that outage and held removals for 2.3 s, so that registrations which lapsed could return. The order of start, failure and adoption is that of one clock, since updates carry their age. Looked for elsewhere: the memberships are renewed by each instance itself; the failures of the coordinator end with each update; those of the operator's records only delay the next read. Removals that are held because of an outage of one's own still keep a reader from sending updates.

--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -120,10 +120,10 @@
     void readWhatUpdatesBrought();
     void publish(const IntrusivePtr<const TargetList> &targets);
     void publish(const IntrusivePtr<const InstanceList> &instances);
-    /// Publishes the lists received from the reader, which read the list of targets up to
-    /// \a targetsPosition. A list that was never received does not replace the known one.
-    void publishReceived(std::uint64_t targetsPosition);
-    void publishReceivedTargets(std::uint64_t targetsPosition);
+    /// Publishes the lists received from the reader, the last time with \a update. A list that was
+    /// never received does not replace the known one.
+    void publishReceived(const EstateUpdate &update);
+    void publishReceivedTargets(const EstateUpdate &update);
     void publishReceivedInstances();
     void sendUpdates();
     void sendUpdateTo(LinkId link);
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -169,22 +169,22 @@
     m_lastUpdateAsOf = update->asOf;
     m_failures = 0;
     updateOperatorPollTimeout();
-    publishReceived(update->targetsPosition);
+    publishReceived(*update);
     m_spillover.adoptShares(update->localShares);
     releaseWaitingRequests();
     return absl::OkStatus();
 }
 
-void EstateCoordinator::publishReceived(std::uint64_t targetsPosition)
+void EstateCoordinator::publishReceived(const EstateUpdate &update)
 {
     // Most updates change nothing; the lists are then not copied.
     if (m_received.targets)
-        publishReceivedTargets(targetsPosition);
+        publishReceivedTargets(update);
     if (m_received.instances)
         publishReceivedInstances();
 }
 
-void EstateCoordinator::publishReceivedTargets(std::uint64_t targetsPosition)
+void EstateCoordinator::publishReceivedTargets(const EstateUpdate &update)
 {
     auto targets = m_blackboard.targets.read();
     if (!targets || targets->targets != *m_received.targets) {
@@ -192,7 +192,7 @@
         list->targets = *m_received.targets;
         targets = IntrusivePtr<const TargetList>(list);
     }
-    m_source.adoptTargets(*targets, targetsPosition);
+    m_source.adoptTargets(*targets, update.targetsPosition, update.asOf);
     publish(targets);
 }
 
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -41,9 +41,10 @@
     virtual void readTargets() = 0;
     /// Position up to which the targets were read.
     virtual std::uint64_t targetsPosition() const = 0;
-    /// Takes over a list that another instance read up to \a position; the next read continues
-    /// there.
-    virtual void adoptTargets(const TargetList &targets, std::uint64_t position) = 0;
+    /// Takes over a list that another instance read up to \a position, in a read that started at
+    /// \a asOf; the next read continues there.
+    virtual void adoptTargets(const TargetList &targets, std::uint64_t position,
+                              TimePoint asOf) = 0;
     /// Reads the instances once.
     virtual void readInstances() = 0;
     /// Sets the timeout of the long polls by which the source continuously reads the operator's
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -55,7 +55,7 @@
                 onRead();
         }
         std::uint64_t targetsPosition() const override { return position; }
-        void adoptTargets(const TargetList &it, std::uint64_t to) override
+        void adoptTargets(const TargetList &it, std::uint64_t to, TimePoint) override
         {
             adopted = it.targets;
             position = to;
