Answer every request before a stopped process exits

Reported by operators of a similar system: in a planned stop, requests that came late in the grace period were passed on and cut without an answer. Found here: requests that come during the grace period are answered, which requestsThatComeDuringTheGracePeriodAreAnswered shows; it passed on the code as it was, since an instance that leaves refuses what may outlast it. But a request from before the signal kept its own deadline: one in the queue could be sent to a target when little of the grace period was left, also one that must not run twice, a retry as well, and all were cut at the exit. Change: the signal moves the deadlines of pending requests to 50 ms before the exit. The queue does not place what would end later and refuses it, truthfully, and what still runs then is answered 504. Requests that come later have to fit into the same time.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,8 +35,8 @@
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
     , m_crashes(context, timers, clock, protocol, blackboard, m_log)
-    , m_context{ context, timers, clock,      random,    protocol,
-                 metrics, m_log,  m_overflow, m_crashes, m_settings.region }
+    , m_context{ context, timers,     clock,     random,     protocol,         metrics,
+                 m_log,   m_overflow, m_crashes, m_requests, m_settings.region }
     , m_instanceConnections(context, timers, clock)
     , m_listener(context, timers, clock,
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
@@ -87,6 +87,12 @@
         return;
     m_shutdown.emplace(m_context.clock.now(), m_settings.gracePeriod);
     m_listener.closeAfterResponses();
+    // A request may end, and with it others, while its deadline is set.
+    std::vector<IntrusivePtr<ProxiedRequest>> requests;
+    for (ProxiedRequest *it = m_requests.front(); it; it = m_requests.next(it))
+        requests.emplace_back(it);
+    for (const IntrusivePtr<ProxiedRequest> &it : requests)
+        it->endBy(m_shutdown->lastAnswerAt());
 }
 
 bool Gateway::shouldExit() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -107,6 +107,7 @@
     DecisionLog m_log;
     OverflowCounter m_overflow;
     CrashMonitor m_crashes;
+    ProxiedRequestList m_requests;
     GatewayContext m_context;
     InstanceConnections m_instanceConnections;
     HttpListener m_listener;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/intrusivelist.h"
 #include "base/irandomsource.h"
 #include "base/itimerservice.h"
 #include "gateway/gatewaymetrics.h"
@@ -12,6 +13,9 @@
 
 namespace lycheebay {
 
+class ProxiedRequest;
+using ProxiedRequestList = IntrusiveList<ProxiedRequest, ProxiedRequest>;
+
 /// Services shared by the classes of one gateway. All referenced objects outlive the gateway. Not
 /// thread-safe: use it on the event loop.
 struct GatewayContext
@@ -25,6 +29,8 @@
     DecisionLog &log;
     OverflowCounter &overflow;
     CrashMonitor &crashes;
+    /// The requests that have not been answered yet.
+    ProxiedRequestList &requests;
     /// Region of this instance.
     std::string region;
 };
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -106,9 +106,8 @@
     if (!admit())
         return;
     m_exchange->onCallerGone([self] { self->callerDisconnected(); });
-    const Duration left = m_queuedRequest.deadline - m_context.clock.now();
-    m_deadlineTimer = m_context.timers.after(std::max(left, Duration::zero()),
-                                             [self] { self->deadlineExpired(); });
+    m_context.requests.pushBack(this);
+    setDeadlineTimer();
     // The instance that forwarded the request has counted it.
     if (!m_isForwarded)
         m_dispatcher.retryLimiter().countRequest(m_context.clock.now());
@@ -116,6 +115,28 @@
         enqueue();
 }
 
+void ProxiedRequest::setDeadlineTimer()
+{
+    const IntrusivePtr<ProxiedRequest> self(this);
+    const Duration left = m_queuedRequest.deadline - m_context.clock.now();
+    m_deadlineTimer = m_context.timers.after(std::max(left, Duration::zero()),
+                                             [self] { self->deadlineExpired(); });
+}
+
+void ProxiedRequest::endBy(TimePoint latest)
+{
+    if (m_ended || latest >= m_queuedRequest.deadline)
+        return;
+    m_queuedRequest.deadline = latest;
+    m_queuedRequest.objective = std::min(m_queuedRequest.objective, latest);
+    m_queuedRequest.refuseAt = std::min(m_queuedRequest.refuseAt, latest);
+    setDeadlineTimer();
+    if (!m_queued)
+        return;
+    m_dispatcher.cancel(m_queuedRequest.id);
+    m_dispatcher.submit(m_queuedRequest, *this);
+}
+
 void ProxiedRequest::enqueue()
 {
     m_queued = true;
@@ -432,6 +453,7 @@
 void ProxiedRequest::end()
 {
     m_ended = true;
+    unlink();
     if (std::exchange(m_runsExclusively, false))
         m_context.crashes.release(m_fingerprint);
     // The timer and the exchange hold references to this request.
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -22,7 +22,9 @@
 /// and answers. A request that must run at most once and may have run is never sent again. If an
 /// idempotent request takes unusually long, a hedged attempt is sent to a second target, and the
 /// first answer is used. Not thread-safe: use it on the event loop.
-class ProxiedRequest final : public RefCounted, public IDispatchedRequest
+class ProxiedRequest final : public RefCounted,
+                             public IDispatchedRequest,
+                             public ListNode<ProxiedRequest>
 {
 public:
     /// \a previousWait is how long the caller waited in earlier tries. Precondition: \a route
@@ -34,6 +36,10 @@
 
     /// Queues or forwards the request, or refuses it if it is suspected of crashing targets.
     void start();
+    /// Makes sure that the request is answered at \a latest, since the process exits soon after. It
+    /// is not sent to a target that is unlikely to answer by then. Precondition: start() was
+    /// called.
+    void endBy(TimePoint latest);
 
     void onPlaced(const Placement &placement,
                   const IntrusivePtr<TargetConnections> &targetConnections) override;
@@ -57,6 +63,7 @@
     bool admit();
     void recordLoss(const AttemptPtr &attempt);
     void enqueue();
+    void setDeadlineTimer();
     void leaveQueue();
     void cancelRetryReservation();
     void send(const AttemptPtr &attempt);
--- a/src/gateway/shutdownplan.cpp
+++ b/src/gateway/shutdownplan.cpp
@@ -8,6 +8,8 @@
 
 // The process exits this long before the forced termination.
 constexpr Duration kExitMargin = milliseconds(250);
+// Time for answers to leave the process before it exits.
+constexpr Duration kAnswerMargin = milliseconds(50);
 // Minimum time for which connections are accepted, since callers cache address answers.
 constexpr Duration kMinListeningTime = milliseconds(2500);
 
@@ -18,9 +20,14 @@
     , m_exitAt(since + gracePeriod - kExitMargin)
 {}
 
+TimePoint ShutdownPlan::lastAnswerAt() const
+{
+    return m_exitAt - kAnswerMargin;
+}
+
 bool ShutdownPlan::mayAccept(TimePoint now, Duration timeout) const
 {
-    return now + timeout < m_exitAt;
+    return now + timeout < lastAnswerAt();
 }
 
 bool ShutdownPlan::shouldExit(TimePoint now, std::size_t pendingRequests,
--- a/src/gateway/shutdownplan.h
+++ b/src/gateway/shutdownplan.h
@@ -14,7 +14,9 @@
     /// forced termination.
     ShutdownPlan(TimePoint since, Duration gracePeriod);
 
-    /// True if a request that may take up to \a timeout completes before the process has to exit.
+    /// When every request must have been answered, shortly before the process has to exit.
+    TimePoint lastAnswerAt() const;
+    /// True if a request that may take up to \a timeout is answered in time.
     bool mayAccept(TimePoint now, Duration timeout) const;
     /// True if the process should exit: nothing is pending or connected and callers have had time
     /// to fetch new addresses, or the grace period is about to end.
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -70,6 +70,9 @@
     CPPUNIT_TEST(endlessProbeAnswerTakesTheTargetOut);
     CPPUNIT_TEST(shutdownCompletesRequestsThenExits);
     CPPUNIT_TEST(shutdownDoesNotWaitForTheTargetList);
+    CPPUNIT_TEST(requestsThatComeDuringTheGracePeriodAreAnswered);
+    CPPUNIT_TEST(queuedOrderIsNotSentShortlyBeforeTheExit);
+    CPPUNIT_TEST(runningRequestIsAnsweredBeforeTheExit);
     CPPUNIT_TEST_SUITE_END();
 
     enum class Behaviour { Answer, Reject, CloseConnection, Hang, SlowAnswer, Fail, Crash };
@@ -684,6 +687,75 @@
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_gateway->shouldExit(); }));
     }
 
+    // Guards against requests that are accepted late in the grace period and cut at its end.
+    // Reported by operators of a similar system.
+    void requestsThatComeDuringTheGracePeriodAreAnswered()
+    {
+        publishConfiguration(400ms);
+        m_gateway->updateSettings({ 2, 100, 10s }, 1500ms);
+        for (int i = 0; i < 8; ++i) {
+            Target &target = addTarget(Behaviour::SlowAnswer);
+            target.delay = 250ms;
+        }
+        std::vector<std::shared_ptr<Answer>> answers;
+        m_gateway->beginShutdown();
+        while (!m_gateway->shouldExit()) {
+            answers.push_back(sendRequest("/order/a", "POST"));
+            runFor(30ms);
+        }
+        int served = 0;
+        int refused = 0;
+        for (const auto &it : answers) {
+            if (!it->received || it->result != TransferResult::Answered)
+                continue;
+            served += it->response.status == 200 ? 1 : 0;
+            refused += it->response.status == 503 ? 1 : 0;
+        }
+        // The last request may still be on its way to the gateway.
+        CPPUNIT_ASSERT(served + refused >= static_cast<int>(answers.size()) - 1);
+        CPPUNIT_ASSERT(served > 10 && refused > 5);
+        CPPUNIT_ASSERT_EQUAL(totalRuns(), served);
+    }
+
+    // Guards against an order that waits in the queue when the process is stopped, is sent to a
+    // target when little of the grace period is left, and is cut without an answer.
+    void queuedOrderIsNotSentShortlyBeforeTheExit()
+    {
+        publishConfiguration(30s, 6s);
+        m_gateway->updateSettings({ 2, 100, 10s }, 1500ms);
+        Target &target = addTarget(Behaviour::SlowAnswer);
+        target.delay = 1s;
+        std::vector<std::shared_ptr<Answer>> running;
+        for (int i = 0; i < 2; ++i) {
+            running.push_back(sendRequest("/order/a", "POST"));
+            CPPUNIT_ASSERT(m_loop->runUntil([&] { return target.runs == i + 1; }));
+        }
+        const auto queued = sendRequest("/order/b", "POST");
+        runFor(50ms);
+        CPPUNIT_ASSERT(!queued->received);
+        m_gateway->beginShutdown();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_gateway->shouldExit(); }));
+        for (const auto &it : running)
+            CPPUNIT_ASSERT_EQUAL(200, waitForResponse(it).status);
+        CPPUNIT_ASSERT(queued->received && queued->result == TransferResult::Answered);
+        CPPUNIT_ASSERT_EQUAL(503, queued->response.status);
+        CPPUNIT_ASSERT_EQUAL(2, target.runs);
+    }
+
+    // Guards against a connection that is closed without an answer when the process exits.
+    void runningRequestIsAnsweredBeforeTheExit()
+    {
+        publishConfiguration(30s);
+        m_gateway->updateSettings({ 2, 100, 10s }, 1s);
+        Target &target = addTarget(Behaviour::Hang);
+        const auto answer = sendRequest("/order/a", "POST");
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return target.runs == 1; }));
+        m_gateway->beginShutdown();
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_gateway->shouldExit(); }));
+        CPPUNIT_ASSERT(answer->received && answer->result == TransferResult::Answered);
+        CPPUNIT_ASSERT_EQUAL(504, answer->response.status);
+    }
+
     // Fails if a request is held until the process exits because the refresher does not call back.
     void shutdownDoesNotWaitForTheTargetList()
     {
