Obey targets that say that they leave or want a pause

Leaving: any response counts, that of a probe and a rejection too. The incarnation is marked in this instance's view of the targets, whatever the platform lists later, so that dispatchers and addresses leave it out; another incarnation is a target of its own. The other instances of the region learn it in the frames that carry crash suspects, and an instance that passes on a forwarded answer from the field that the dispatcher adds. Pause: a 503 with Retry-After keeps requests and probes from the target for that time from this instance; a shorter one or the end of an earlier request does not end it. Then its slots come back within 0.8 s, and pauses end with a jitter of up to 0.2 s. While all targets pause, callers are refused at once with a Retry-After no shorter than the first pause (1.5 s at most). Neither answer is a failure of the target or a suspected crash.

--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -98,10 +98,13 @@
     std::vector<RegionOverflow> regions;
 };
 
-/// Requests that are suspected of crashing targets.
-struct CrashSuspectList : RefCounted
+/// What an instance has observed of targets and tells the other instances of its region.
+struct InstanceReport : RefCounted
 {
-    std::vector<SharedSuspect> suspects;
+    /// Requests that are suspected of crashing targets.
+    std::vector<SharedSuspect> crashSuspects;
+    /// Keys of targets that have stated in a response that they leave.
+    std::vector<std::string> leavingTargets;
 };
 
 /// Share of the callers in this region that stay here although \a homeRegion serves some of their
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,8 +35,9 @@
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
     , m_crashes(context, timers, clock, protocol, blackboard, m_log)
-    , m_context{ context, timers,     clock,     random,     protocol,         metrics,
-                 m_log,   m_overflow, m_crashes, m_requests, m_settings.region }
+    , m_leavingTargets(clock, blackboard, m_log, [this] { scheduleConfiguration(); })
+    , m_context{ context, timers,     clock,     random,           protocol,   metrics,
+                 m_log,   m_overflow, m_crashes, m_leavingTargets, m_requests, m_settings.region }
     , m_instanceConnections(context, timers, clock)
     , m_listener(context, timers, clock,
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
@@ -186,7 +187,7 @@
 {
     const auto configuration = m_blackboard.configuration.read();
     const auto instances = m_blackboard.instances.read();
-    const auto targets = m_blackboard.targets.read();
+    const auto &targets = m_targets;
     const auto drained = m_blackboard.drainedDomains.read();
     if (!configuration || !instances)
         return {};
@@ -255,13 +256,24 @@
     return *dispatcher;
 }
 
+void Gateway::scheduleConfiguration()
+{
+    if (m_reconfigurationTimer)
+        return;
+    m_reconfigurationTimer = m_context.timers.after(Duration::zero(), [this] {
+        m_reconfigurationTimer.reset();
+        configureDispatchers();
+    });
+}
+
 void Gateway::configureDispatchers()
 {
     const auto configuration = m_blackboard.configuration.read();
     const auto instances = m_blackboard.instances.read();
     if (!configuration)
         return;
-    const auto targets = m_blackboard.targets.read();
+    m_targets = m_leavingTargets.apply(m_blackboard.targets.read());
+    const auto &targets = m_targets;
     invalidateAddressCache();
     const bool ownershipKnown =
             instances && m_context.clock.now() - m_startedAt >= kColdTargetHoldOff;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,6 +98,8 @@
     bool staysInRegion(const GatewayConfiguration &configuration, const AddressQuery &query);
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
     void configureDispatchers();
+    /// Configures the dispatchers soon, once for several changes at a time.
+    void scheduleConfiguration();
     void invalidateAddressCache() { m_addressCache.clear(); }
     ServiceDispatcher &dispatcherOf(const std::string &service, const Route &route);
 
@@ -107,6 +109,7 @@
     DecisionLog m_log;
     OverflowCounter m_overflow;
     CrashMonitor m_crashes;
+    LeavingTargets m_leavingTargets;
     ProxiedRequestList m_requests;
     GatewayContext m_context;
     InstanceConnections m_instanceConnections;
@@ -119,8 +122,11 @@
     /// Candidates by host, failure domain and region of the caller. Cleared by each change of the
     /// blackboard.
     StringMap<std::vector<AddressCandidate>> m_addressCache;
+    /// The published targets, with those that have said so marked as leaving.
+    IntrusivePtr<const TargetList> m_targets;
     TimePoint m_startedAt;
     TimerSubscription m_coldTargetHoldOffTimer;
+    TimerSubscription m_reconfigurationTimer;
     TimerSubscription m_idleConnectionTimer;
     TimerSubscription m_overflowTimer;
     std::optional<ShutdownPlan> m_shutdown;
--- a/src/gateway/gatewayblackboard.h
+++ b/src/gateway/gatewayblackboard.h
@@ -17,9 +17,9 @@
     /// Overflow counted by this instance since the value before.
     Topic<OverflowCounts> overflow;
     Topic<LocalShares> localShares;
-    /// Suspects that this instance found or that other instances reported, since the value before.
-    Topic<CrashSuspectList> crashSuspects;
-    Topic<CrashSuspectList> peerCrashSuspects;
+    /// What this instance and what others have observed since the value before.
+    Topic<InstanceReport> reports;
+    Topic<InstanceReport> peerReports;
 };
 
 } // namespace lycheebay
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -56,11 +56,10 @@
     , m_log(log)
     , m_suspects(kLimits)
 {
-    m_blackboard.peerCrashSuspects.subscribe(
-            [this](const IntrusivePtr<const CrashSuspectList> &list) {
-                for (const SharedSuspect &it : list->suspects)
-                    m_suspects.mergeFromPeer(it, m_clock.now());
-            });
+    m_blackboard.peerReports.subscribe([this](const IntrusivePtr<const InstanceReport> &report) {
+        for (const SharedSuspect &it : report->crashSuspects)
+            m_suspects.mergeFromPeer(it, m_clock.now());
+    });
 }
 
 CrashMonitor::~CrashMonitor()
@@ -174,9 +173,9 @@
     fields.add("fingerprint", fmt::format("{:016x}", attempt.fingerprint));
     fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
     m_log.write(fields);
-    auto list = makeRef<CrashSuspectList>();
-    list->suspects = { suspect };
-    m_blackboard.crashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
+    auto report = makeRef<InstanceReport>();
+    report->crashSuspects = { suspect };
+    m_blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
 }
 
 } // namespace lycheebay
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -6,6 +6,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "gateway/internal/crashmonitor.h"
 #include "gateway/internal/decisionlog.h"
+#include "gateway/internal/leavingtargets.h"
 #include "gateway/internal/overflowcounter.h"
 #include "gateway/itargetprotocol.h"
 
@@ -29,6 +30,7 @@
     DecisionLog &log;
     OverflowCounter &overflow;
     CrashMonitor &crashes;
+    LeavingTargets &leavingTargets;
     /// The requests that have not been answered yet.
     ProxiedRequestList &requests;
     /// Region of this instance.
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -282,6 +282,12 @@
         handleFailure("unsealed_answer");
         return;
     }
+    // The instance that forwarded the request passes the answer on too.
+    removeHeader(response.headers, kLeavingTargetHeader);
+    if (m_isForwarded && metadata.leaving) {
+        response.headers.push_back(
+                { kLeavingTargetHeader, targetKey(attempt->targetConnections->record()) });
+    }
     if (response.status < httpstatus::kFirstServerError) {
         finishAttempt(attempt, AttemptResult::Served, elapsed, metadata);
         deliver(std::move(response));
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -34,6 +34,10 @@
     case ForwardOutcome::Response:
         m_executionState = ExecutionState::MayHaveRun;
         m_context.crashes.recordResponse(m_fingerprint);
+        if (const std::string *key = findHeader(response.headers, kLeavingTargetHeader)) {
+            m_context.leavingTargets.record(*key);
+            removeHeader(response.headers, kLeavingTargetHeader);
+        }
         if (response.status < httpstatus::kFirstError
             && !m_context.protocol.readResponseMetadata(response).sealed) {
             fail(httpstatus::kBadGateway, "unsealed_answer");
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -32,8 +32,10 @@
 
 void ProxiedRequest::recordLoss(const AttemptPtr &attempt)
 {
+    const TargetRecord &target = attempt->targetConnections->record();
     const bool hasBytes = attempt->connection->lastReadAt() >= attempt->sentAt;
-    if (!hasBytes) {
+    const bool isLeaving = target.leaving || m_context.leavingTargets.contains(targetKey(target));
+    if (!hasBytes && !isLeaving) {
         m_context.crashes.recordLostAttempt(m_fingerprint, attempt->sentAt,
                                             attempt->targetConnections, m_dispatcher.healthPath());
     }
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -18,6 +18,8 @@
 constexpr char kNotRunOutcome[] = "not-run";
 constexpr char kRejectedOutcome[] = "rejected";
 constexpr char kUnknownOutcome[] = "unknown";
+/// Header field of a target's response to a forwarded request: the key of the target if it leaves.
+constexpr char kLeavingTargetHeader[] = "Lycheebay-Leaving-Target";
 
 /// True if another instance forwarded the request to this one.
 bool isForwarded(const HttpRequest &request);
--- a/src/gateway/internal/servicedispatcher.cpp
+++ b/src/gateway/internal/servicedispatcher.cpp
@@ -83,7 +83,11 @@
     // Rejections and errors may come from a part of the target that names no limit.
     if (result == AttemptResult::Served && !metadata.requestLimit)
         updateRequestLimit(key, std::nullopt);
-    m_pool.finish(key, result, elapsed, m_context.clock.now());
+    // A target that leaves or pauses is not failing.
+    const bool isStated = metadata.pause || metadata.leaving;
+    const bool isFailure = result != AttemptResult::Served;
+    m_pool.finish(key, isStated && isFailure ? AttemptResult::Abandoned : result, elapsed,
+                  m_context.clock.now());
     if (!m_requests.empty())
         scheduleRun();
 }
@@ -95,8 +99,22 @@
         m_pool.updateLoad(key, *metadata.load, now);
     if (metadata.coldFor)
         m_pool.updateColdTime(key, *metadata.coldFor, now);
-    if (metadata.requestLimit && !metadata.wrongTarget)
+    if (metadata.wrongTarget)
+        return;
+    if (metadata.requestLimit)
         updateRequestLimit(key, metadata.requestLimit);
+    if (metadata.leaving)
+        m_context.leavingTargets.record(key);
+    if (metadata.pause)
+        pauseTarget(key, *metadata.pause);
+}
+
+void ServiceDispatcher::pauseTarget(const std::string &key, Duration pause)
+{
+    m_pool.pauseTarget(key, pause, m_context.clock.now());
+    LogFields fields("target_paused");
+    fields.add("service", m_service).add("target", key).addMs("pause_ms", pause);
+    m_context.log.write(fields);
 }
 
 void ServiceDispatcher::updateRequestLimit(const std::string &key, std::optional<double> perSecond)
--- a/src/gateway/internal/servicedispatcher.h
+++ b/src/gateway/internal/servicedispatcher.h
@@ -61,6 +61,7 @@
     void apply(const PoolDecisions &decisions);
     void probe(const TargetRecord &target);
     void applyMetadata(const std::string &key, const ResponseMetadata &metadata);
+    void pauseTarget(const std::string &key, Duration pause);
     void updateRequestLimit(const std::string &key, std::optional<double> perSecond);
     bool isActive() const;
 
--- a/src/gateway/itargetprotocol.h
+++ b/src/gateway/itargetprotocol.h
@@ -40,6 +40,10 @@
     /// Requests per second that the target accepts from all instances together; null if it names no
     /// limit.
     std::optional<double> requestLimit;
+    /// True if this incarnation is shutting down and must get no new requests.
+    bool leaving = false;
+    /// Time for which the target wants no request from this instance; null if it states none.
+    std::optional<Duration> pause;
 
     auto operator<=>(const ResponseMetadata &) const = default;
 };
--- a/src/gateway/lycheebayprotocol.cpp
+++ b/src/gateway/lycheebayprotocol.cpp
@@ -40,6 +40,7 @@
         metadata.load = TargetLoad{ report->inFlight, 0, report->slots, 1 };
         const bool cold = report->phase == TargetPhase::Cold;
         metadata.coldFor = cold ? kAssumedColdTime : Duration::zero();
+        metadata.leaving = report->phase == TargetPhase::Draining;
     }
     return metadata;
 }
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -64,8 +64,8 @@
 {
     m_blackboard.instances.subscribe(
             [this](const IntrusivePtr<const InstanceList> &) { chooseReader(); });
-    m_blackboard.crashSuspects.subscribe([this](const IntrusivePtr<const CrashSuspectList> &it) {
-        sendCrashSuspects(it->suspects, std::nullopt);
+    m_blackboard.reports.subscribe([this](const IntrusivePtr<const InstanceReport> &it) {
+        sendReport(*it, std::nullopt);
     });
 }
 
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -129,10 +129,10 @@
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
     absl::Status followerFrameReceived(LinkId link, std::string_view frame);
-    /// Sends suspects to the followers except \a source, and to the reader.
-    void sendCrashSuspects(const std::vector<SharedSuspect> &suspects,
-                           std::optional<LinkId> source);
-    void crashSuspectsReceived(LinkId link, const std::vector<SharedSuspect> &suspects);
+    /// Sends a report to the followers except \a source, and to the reader.
+    void sendReport(const InstanceReport &report, std::optional<LinkId> source);
+    /// Publishes the report in a frame; returns false if it contains none.
+    bool reportReceived(LinkId link, const EstateUpdate &update);
     void sendOverflowToReader(const OverflowCounts &counts);
 
     ITimerService &m_timers;
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -84,12 +84,12 @@
     m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
 }
 
-void EstateCoordinator::sendCrashSuspects(const std::vector<SharedSuspect> &suspects,
-                                          std::optional<LinkId> source)
+void EstateCoordinator::sendReport(const InstanceReport &report, std::optional<LinkId> source)
 {
     EstateUpdate update;
     update.asOf = m_clock.now();
-    update.crashSuspects = suspects;
+    update.crashSuspects = report.crashSuspects;
+    update.leavingTargets = report.leavingTargets;
     const std::string frame = encodeUpdate(update, m_clock.now(), m_compressor);
     for (const auto &[link, state] : m_followers) {
         if (link != source)
@@ -99,16 +99,19 @@
         m_links.send(*m_readerLink, frame);
 }
 
-void EstateCoordinator::crashSuspectsReceived(LinkId link,
-                                              const std::vector<SharedSuspect> &suspects)
+bool EstateCoordinator::reportReceived(LinkId link, const EstateUpdate &update)
 {
-    auto list = makeRef<CrashSuspectList>();
-    list->suspects = suspects;
-    m_blackboard.peerCrashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
-    // Only the reader passes them on, so that they cannot circulate between two instances which
+    if (update.crashSuspects.empty() && update.leavingTargets.empty())
+        return false;
+    auto report = makeRef<InstanceReport>();
+    report->crashSuspects = update.crashSuspects;
+    report->leavingTargets = update.leavingTargets;
+    // Only the reader passes reports on, so that they cannot circulate between two instances which
     // follow each other for a moment.
     if (m_role == Role::Reader)
-        sendCrashSuspects(suspects, link);
+        sendReport(*report, link);
+    m_blackboard.peerReports.publish(IntrusivePtr<const InstanceReport>(report));
+    return true;
 }
 
 absl::Status EstateCoordinator::followerFrameReceived(LinkId link, std::string_view frame)
@@ -118,10 +121,8 @@
         return update.status();
     if (update->targets || update->instances || !update->operatorRecords.records.empty())
         return absl::InvalidArgumentError("update from an instance that is not the reader");
-    if (!update->crashSuspects.empty()) {
-        crashSuspectsReceived(link, update->crashSuspects);
+    if (reportReceived(link, *update))
         return absl::OkStatus();
-    }
     OverflowCounts counts;
     counts.placed = update->placed;
     counts.regions = update->overflow;
@@ -155,10 +156,8 @@
     const auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
-    if (!update->crashSuspects.empty()) {
-        crashSuspectsReceived(link, update->crashSuspects);
+    if (reportReceived(link, *update))
         return absl::OkStatus();
-    }
     m_source.applyOperatorRecords(update->operatorRecords);
     applyReceived(m_received.targets, update->targets);
     applyReceived(m_received.instances, update->instances);
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -107,16 +107,15 @@
     return absl::OkStatus();
 }
 
-absl::Status
-decodeRemoved(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names,
-              std::vector<std::string> &removed)
+absl::Status decodeNames(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names,
+                         std::vector<std::string> &decoded)
 {
     if (!names)
         return absl::OkStatus();
     for (const flatbuffers::String *it : *names) {
         if (!isValidName(it))
-            return absl::InvalidArgumentError("removed element with an empty or too long name");
-        removed.push_back(it->str());
+            return absl::InvalidArgumentError("list with an empty or too long name");
+        decoded.push_back(it->str());
     }
     return absl::OkStatus();
 }
@@ -126,9 +125,9 @@
 {
     TargetListDiff targets;
     InstanceListDiff instances;
-    absl::Status status = decodeRemoved(message.removed_targets(), targets.removed);
+    absl::Status status = decodeNames(message.removed_targets(), targets.removed);
     if (status.ok())
-        status = decodeRemoved(message.removed_instances(), instances.removed);
+        status = decodeNames(message.removed_instances(), instances.removed);
     if (message.targets()) {
         for (const relaywire::Target *it : *message.targets()) {
             if (status.ok())
@@ -173,19 +172,20 @@
     return absl::OkStatus();
 }
 
-void decodeSuspects(const relaywire::EstateUpdate &message, EstateUpdate &update)
+absl::Status decodeReport(const relaywire::EstateUpdate &message, EstateUpdate &update)
 {
     // The count only tells whether a request is refused.
     static constexpr std::uint32_t kMaxCrashCount = 100;
-    if (!message.crash_suspects())
-        return;
-    for (const relaywire::CrashSuspect *it : *message.crash_suspects()) {
-        update.crashSuspects.push_back(
-                { it->fingerprint(),
-                  static_cast<int>(std::min(it->crash_count(), kMaxCrashCount)),
-                  milliseconds(it->remaining_ms()),
-                  {} });
+    if (message.crash_suspects()) {
+        for (const relaywire::CrashSuspect *it : *message.crash_suspects()) {
+            const std::uint32_t count = std::min(it->crash_count(), kMaxCrashCount);
+            update.crashSuspects.push_back({ it->fingerprint(),
+                                             static_cast<int>(count),
+                                             milliseconds(it->remaining_ms()),
+                                             {} });
+        }
     }
+    return decodeNames(message.leaving_targets(), update.leavingTargets);
 }
 
 absl::Status decodeRecord(const relaywire::OperatorRecord &record, OperatorRecords &records)
@@ -330,6 +330,7 @@
         suspect->remaining_ms = toMsRoundedUp(it.remaining);
         message.crash_suspects.push_back(std::move(suspect));
     }
+    message.leaving_targets = update.leavingTargets;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::EstateUpdate::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
@@ -350,7 +351,8 @@
         status = decodeLists(*message, now, update);
     if (status.ok())
         status = decodeSpillover(*message, update);
-    decodeSuspects(*message, update);
+    if (status.ok())
+        status = decodeReport(*message, update);
     if (!status.ok())
         return status;
     return update;
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -61,8 +61,10 @@
     /// since its previous frame.
     int placed = 0;
     std::vector<RegionOverflow> overflow;
-    /// Only in a frame that contains nothing else, in either direction.
+    /// What instances have observed; only in a frame that contains nothing else, in either
+    /// direction.
     std::vector<SharedSuspect> crashSuspects;
+    std::vector<std::string> leavingTargets;
 
     auto operator<=>(const EstateUpdate &) const = default;
 };
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -257,7 +257,10 @@
 void ServicePool::refuse(const QueuedRequest &request, RefusalReason reason, TimePoint now,
                          PoolDecisions &decisions)
 {
-    const Duration wait = expectedWait(eligibleTargets(request, now), m_queue.size(), now);
+    const std::vector<TargetState *> targets = eligibleTargets(request, now);
+    const auto pause = targets.empty() ? shortestPause(request, now) : std::nullopt;
+    // retryAfter() spreads it from here to three times the pause.
+    const Duration wait = pause ? *pause * 2 : expectedWait(targets, m_queue.size(), now);
     decisions.refusals.push_back({ request.id, reason, retryAfter(wait), m_queue.size() });
 }
 
@@ -300,7 +303,8 @@
 void ServicePool::probeIdleTargets(TimePoint now, PoolDecisions &decisions)
 {
     for (TargetState &it : m_targets) {
-        if (it.target.proximity != Proximity::Owned || it.target.record.leaving)
+        if (it.target.proximity != Proximity::Owned || it.target.record.leaving
+            || now < it.pausedUntil)
             continue;
         TimePoint last = TimePoint::min();
         if (it.loadReportedAt)
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -154,6 +154,9 @@
     /// Sets the requests per second that a target accepts from all instances together; null for no
     /// limit. Returns true if that changes what was known.
     bool updateRequestLimit(const std::string &key, std::optional<double> perSecond, TimePoint now);
+    /// Sends the target nothing until \a pause has passed; a longer known pause stays. It then gets
+    /// requests gradually.
+    void pauseTarget(const std::string &key, Duration pause, TimePoint now);
     void recordProbe(const std::string &key, bool answered, TimePoint now);
     /// Reports the end of an attempt that decide() placed. \a elapsed is null if the target did not
     /// process the request.
@@ -182,6 +185,8 @@
         /// Requests per second that the target accepts; null if it names no limit.
         std::optional<double> requestLimit;
         TimePoint requestLimitReportedAt;
+        /// The target wants no request before.
+        TimePoint pausedUntil;
         /// No response has been received yet, so the target may be cold.
         bool noResponseYet = true;
     };
@@ -194,6 +199,13 @@
     TargetState *find(const std::string &key);
     bool isCold(const TargetState &it, TimePoint now) const;
     bool mayUseCold(const TargetState &it) const;
+    /// Slots that the target may use so shortly after a pause; all of them if there was none.
+    int slotsAfterPause(const TargetState &it, int slots, TimePoint now) const;
+    /// Returns the time until the first target that could serve the request ends its pause; null if
+    /// none pauses.
+    std::optional<Duration> shortestPause(const QueuedRequest &request, TimePoint now) const;
+    /// True if neither its registration nor the request keep a target from it.
+    bool isAllowed(const TargetState &it, const QueuedRequest &request) const;
     bool hasRequestLimit(const TargetState &it, TimePoint now) const;
     /// Returns the requests per second that the target may get; null if only its slots bound them.
     std::optional<double> rateLimitOf(const TargetState &it, TimePoint now) const;
--- a/src/gateway/servicepooltargets.cpp
+++ b/src/gateway/servicepooltargets.cpp
@@ -18,6 +18,10 @@
 constexpr double kMinRequestLimit = 0.1;
 // A limit that no answer has repeated for this time is forgotten.
 constexpr Duration kRequestLimitLifetime = std::chrono::seconds(12);
+// After a pause, the slots that a target may use grow to all of them in this time.
+constexpr Duration kReturnTime = std::chrono::milliseconds(800);
+constexpr int kPauseJitterDivisor = 10;
+constexpr Duration kMaxPauseJitter = std::chrono::milliseconds(200);
 
 bool contains(const std::vector<std::string> &list, const std::string &value)
 {
@@ -47,9 +51,7 @@
 bool ServicePool::isEligible(const TargetState &it, const QueuedRequest &request, TimePoint now,
                              bool allowEjected) const
 {
-    if (it.target.record.leaving || it.target.drained || contains(request.triedTargets, it.key))
-        return false;
-    if (!request.homeRegions.empty() && !contains(request.homeRegions, it.target.region))
+    if (!isAllowed(it, request) || now < it.pausedUntil)
         return false;
     // A target that has not responded yet may be cold; it is probed before it gets a request.
     if (!it.noResponseYet && isCold(it, now) && !mayUseCold(it))
@@ -61,6 +63,43 @@
     return allowEjected ? !it.health.isUnresponsive() : !it.health.isEjected(now);
 }
 
+bool ServicePool::isAllowed(const TargetState &it, const QueuedRequest &request) const
+{
+    if (it.target.record.leaving || it.target.drained || contains(request.triedTargets, it.key))
+        return false;
+    return request.homeRegions.empty() || contains(request.homeRegions, it.target.region);
+}
+
+void ServicePool::pauseTarget(const std::string &key, Duration pause, TimePoint now)
+{
+    TargetState *it = find(key);
+    if (!it)
+        return;
+    // Jitter, so that targets which name the same time do not return together.
+    const Duration jitter = std::min(pause / kPauseJitterDivisor, kMaxPauseJitter);
+    const TimePoint end = now + pause + fromSeconds(toSeconds(jitter) * m_random.uniform());
+    it->pausedUntil = std::max(it->pausedUntil, end);
+}
+
+int ServicePool::slotsAfterPause(const TargetState &it, int slots, TimePoint now) const
+{
+    const double share = toSeconds(now - it.pausedUntil) / toSeconds(kReturnTime);
+    return share >= 1 ? slots : std::max(1, static_cast<int>(share * slots));
+}
+
+std::optional<Duration> ServicePool::shortestPause(const QueuedRequest &request,
+                                                   TimePoint now) const
+{
+    std::optional<Duration> shortest;
+    for (const TargetState &it : m_targets) {
+        if (!isAllowed(it, request) || it.pausedUntil <= now)
+            continue;
+        const Duration left = it.pausedUntil - now;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 bool ServicePool::isCold(const TargetState &it, TimePoint now) const
 {
     return it.noResponseYet || now < it.coldUntil;
@@ -75,7 +114,8 @@
 {
     if (isCold(it, now))
         return 1;
-    return std::max(1, static_cast<int>(std::floor(it.target.record.slots * m_settings.slotShare)));
+    const int slots = static_cast<int>(std::floor(it.target.record.slots * m_settings.slotShare));
+    return slotsAfterPause(it, std::max(1, slots), now);
 }
 
 int ServicePool::freeSlots(const TargetState &it, TimePoint now) const
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -39,7 +39,7 @@
     CPPUNIT_TEST(onlyTheReaderReadsWhenTheWholeSystemStarts);
     CPPUNIT_TEST(updatesFromOtherLinksAreRejected);
     CPPUNIT_TEST(overflowOfAFollowerDecidesTheShares);
-    CPPUNIT_TEST(crashSuspectsReachTheInstancesOfTheRegion);
+    CPPUNIT_TEST(reportsReachTheInstancesOfTheRegion);
     CPPUNIT_TEST(unknownListIsNotSentAsAnEmptyOne);
     CPPUNIT_TEST(listThatWasNeverReceivedIsNotPublished);
     CPPUNIT_TEST(emptyListReplacesAKnownOne);
@@ -212,28 +212,31 @@
         m_loop.reset();
     }
 
-    // Guards against a request that crashes targets behind each instance in turn.
-    void crashSuspectsReachTheInstancesOfTheRegion()
+    // Guards against a request that crashes targets behind each instance in turn, and against
+    // requests to a target that has told another instance that it leaves.
+    void reportsReachTheInstancesOfTheRegion()
     {
         static constexpr LinkId kOtherLink = 8;
         makePair();
         m_reader->coordinator.linkOpened(kOtherLink, false, {});
-        auto found = makeRef<CrashSuspectList>();
-        found->suspects = { { 77, 2, 30s, {} } };
-        m_follower->blackboard.crashSuspects.publish(IntrusivePtr<const CrashSuspectList>(found));
+        auto found = makeRef<InstanceReport>();
+        found->crashSuspects = { { 77, 2, 30s, {} } };
+        found->leavingTargets = { "t@5" };
+        m_follower->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(found));
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_follower->links.sent.size());
         CPPUNIT_ASSERT_EQUAL(kLink, m_follower->links.sent[0].first);
         const std::string frame = m_follower->links.sent[0].second;
         CPPUNIT_ASSERT(m_reader->coordinator.frameReceived(kLink, frame).ok());
-        const auto atReader = m_reader->blackboard.peerCrashSuspects.read();
-        CPPUNIT_ASSERT(atReader && atReader->suspects == found->suspects);
+        const auto atReader = m_reader->blackboard.peerReports.read();
+        CPPUNIT_ASSERT(atReader && atReader->crashSuspects == found->crashSuspects);
+        CPPUNIT_ASSERT(atReader->leavingTargets == found->leavingTargets);
         // The reader passes them on to the others only, and a follower to nobody.
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
         CPPUNIT_ASSERT_EQUAL(kOtherLink, m_reader->links.sent[0].first);
         m_follower->coordinator.linkOpened(kOtherLink, false, {});
         m_follower->links.sent.clear();
         CPPUNIT_ASSERT(m_follower->coordinator.frameReceived(kLink, frame).ok());
-        CPPUNIT_ASSERT(m_follower->blackboard.peerCrashSuspects.read());
+        CPPUNIT_ASSERT(m_follower->blackboard.peerReports.read());
         CPPUNIT_ASSERT(m_follower->links.sent.empty());
         // They say nothing about the lists.
         CPPUNIT_ASSERT(!m_follower->blackboard.targets.read());
@@ -308,7 +311,8 @@
             { { "home", 0.25 } },
             9,
             { { "far", 4, 5 } },
-            { { 77, 2, 30s, {} } }
+            { { 77, 2, 30s, {} } },
+            { "t@5" }
         };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeUpdate(encodeUpdate(update, now, m_compressor), later);
@@ -321,16 +325,10 @@
     void malformedFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
-        const std::string good = encodeUpdate({ now,
-                                                {},
-                                                0,
-                                                TargetListDiff{ makeTargetList("t")->targets, {} },
-                                                {},
-                                                {},
-                                                0,
-                                                {},
-                                                {} },
-                                              now, m_compressor);
+        EstateUpdate update;
+        update.asOf = now;
+        update.targets = TargetListDiff{ makeTargetList("t")->targets, {} };
+        const std::string good = encodeUpdate(update, now, m_compressor);
         CPPUNIT_ASSERT(!decodeUpdate("", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate("not a frame at all", now).ok());
         CPPUNIT_ASSERT(!decodeUpdate(std::string_view(good).substr(0, good.size() / 2), now).ok());
@@ -720,9 +718,9 @@
     void updatesFromOtherLinksAreRejected()
     {
         makePair();
-        const std::string frame =
-                encodeUpdate({ m_loop->clock.now(), {}, 0, {}, {}, {}, 0, {}, {} },
-                             m_loop->clock.now(), m_compressor);
+        EstateUpdate update;
+        update.asOf = m_loop->clock.now();
+        const std::string frame = encodeUpdate(update, m_loop->clock.now(), m_compressor);
         CPPUNIT_ASSERT(!m_follower->coordinator.frameReceived(kLink + 1, frame).ok());
         CPPUNIT_ASSERT(!m_reader->coordinator.frameReceived(kLink + 1, frame).ok());
     }
--- a/src/gateway/tests/forwardingtest.cpp
+++ b/src/gateway/tests/forwardingtest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(forwardedRequestIsNotForwardedAgain);
     CPPUNIT_TEST(lostAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(statusBehindAnotherDispatcherPromisesNothingAfterARun);
+    CPPUNIT_TEST(leavingTargetBehindAnotherDispatcherIsKnownHere);
     CPPUNIT_TEST(unreachableDispatcherIsBypassed);
     CPPUNIT_TEST(leavingCallerCancelsAForwardedLookup);
     CPPUNIT_TEST(callersStayInTheirRegionByTheShare);
@@ -35,6 +36,7 @@
         bool rejects = false;
         /// Status of the answers.
         int status = 200;
+        std::string phase = "warm";
         int runs = 0;
         int cancelled = 0;
         HttpRequest last;
@@ -79,7 +81,8 @@
     void handleAtTarget(Target &target, const IntrusivePtr<HttpExchange> &exchange)
     {
         HttpResponse response = jsonResponse(200, target.failureDomain);
-        response.headers.push_back({ "Lycheebay-Load", "inflight=0;slots=3;phase=warm;start=1" });
+        response.headers.push_back(
+                { "Lycheebay-Load", "inflight=0;slots=3;phase=" + target.phase + ";start=1" });
         if (exchange->request().path() == "/health") {
             exchange->respond(response);
             return;
@@ -396,6 +399,27 @@
         CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendToA("/order/1", "POST")).status);
     }
 
+    // Guards against an instance that passes on the answer of a leaving target and sends it
+    // requests of its own later.
+    void leavingTargetBehindAnotherDispatcherIsKnownHere()
+    {
+        Target &home = addTarget("b1");
+        publishTargets();
+        publishInstances();
+        publishConfiguration();
+        int reports = 0;
+        m_blackboard->reports.subscribe([&](const IntrusivePtr<const InstanceReport> &it) {
+            reports += it->leavingTargets == std::vector<std::string>{ "t0@0" } ? 1 : 0;
+        });
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendToA("/order/1", "POST")).status);
+        home.phase = "draining";
+        const HttpResponse response = waitForResponse(sendToA("/order/2", "POST"));
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        CPPUNIT_ASSERT(!findHeader(response.headers, "Lycheebay-Leaving-Target"));
+        // One of each instance.
+        CPPUNIT_ASSERT_EQUAL(2, reports);
+    }
+
     // A dispatcher that died stays in the list of instances for seconds, while its targets serve.
     void unreachableDispatcherIsBypassed()
     {
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -20,9 +20,13 @@
 
 constexpr char kLimitHeader[] = "Test-Limit";
 
+constexpr char kLeavingHeader[] = "Test-Leaving";
+constexpr char kPauseHeader[] = "Test-Pause-Ms";
+
 constexpr char kAttemptHeader[] = "Test-Attempt";
 
-/// The protocol of lycheebay with fields for the limit of a target and the attempt that it answers.
+/// The protocol of lycheebay with fields for the limit of a target, its leaving, a pause, and the
+/// attempt that it answers.
 class TestProtocol final : public LycheebayProtocol
 {
 public:
@@ -33,6 +37,9 @@
             metadata.requestLimit = std::stod(*limit);
         if (const std::string *id = findHeader(response.headers, kAttemptHeader))
             metadata.attemptId = *id;
+        metadata.leaving = findHeader(response.headers, kLeavingHeader) != nullptr;
+        if (const std::string *pause = findHeader(response.headers, kPauseHeader))
+            metadata.pause = std::chrono::milliseconds(std::stoi(*pause));
         return metadata;
     }
 };
@@ -58,6 +65,8 @@
     CPPUNIT_TEST(requestThatCrashesItsTargetsIsRefused);
     CPPUNIT_TEST(lostConnectionToARunningTargetIsNoCrash);
     CPPUNIT_TEST(suspectOfAnotherInstanceIsRefused);
+    CPPUNIT_TEST(targetThatSaysItLeavesGetsNoNewRequests);
+    CPPUNIT_TEST(pauseOfATargetIsKeptAndIsNoFailure);
     CPPUNIT_TEST(slowIdempotentRequestIsHedged);
     CPPUNIT_TEST(slowRequestWithoutOtherTargetIsNotCancelled);
     CPPUNIT_TEST(routeTimeoutIsAnswered);
@@ -93,6 +102,11 @@
         int failureStatus = 500;
         /// Requests per second that the answers name as the limit.
         std::string limit;
+        bool leaving = false;
+        /// Pause in milliseconds that the rejections name.
+        std::string pause;
+        int rejections = 0;
+        std::int64_t startedAtMs = 0;
         std::vector<IntrusivePtr<HttpExchange>> heldExchanges;
         std::vector<TimerSubscription> timers;
     };
@@ -124,7 +138,11 @@
         HttpResponse response = load;
         switch (target.behaviour) {
         case Behaviour::Reject:
-            exchange->respond(rejection());
+            ++target.rejections;
+            response = rejection();
+            if (!target.pause.empty())
+                response.headers.push_back({ kPauseHeader, target.pause });
+            exchange->respond(response);
             return;
         case Behaviour::CloseConnection:
             ++target.runs;
@@ -159,6 +177,8 @@
             ++target.runs;
             if (!target.limit.empty())
                 response.headers.push_back({ kLimitHeader, target.limit });
+            if (target.leaving)
+                response.headers.push_back({ kLeavingHeader, "1" });
             exchange->respond(response);
             return;
         }
@@ -229,6 +249,7 @@
             it.address = addressOf(target);
             it.failureDomain = "d";
             it.slots = 3;
+            it.startedAtMs = target.startedAtMs;
             list->targets.push_back(it);
         }
         m_blackboard->targets.publish(IntrusivePtr<const TargetList>(list));
@@ -648,13 +669,62 @@
         publishConfiguration();
         addTarget(Behaviour::Answer);
         const HttpRequest request{ "GET", "/lookup/a", { { "Host", "h" } }, {} };
-        auto list = makeRef<CrashSuspectList>();
-        list->suspects = { { fingerprintOf(request), 2, 30s, {} } };
-        m_blackboard->peerCrashSuspects.publish(IntrusivePtr<const CrashSuspectList>(list));
+        auto list = makeRef<InstanceReport>();
+        list->crashSuspects = { { fingerprintOf(request), 2, 30s, {} } };
+        m_blackboard->peerReports.publish(IntrusivePtr<const InstanceReport>(list));
         CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/a")).status);
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/b")).status);
     }
 
+    // Guards against requests to a target that has said that it leaves, because the platform still
+    // lists it as ready.
+    void targetThatSaysItLeavesGetsNoNewRequests()
+    {
+        publishConfiguration();
+        Target &target = addTarget(Behaviour::Answer);
+        target.leaving = true;
+        std::vector<std::string> reported;
+        m_blackboard->reports.subscribe([&](const IntrusivePtr<const InstanceReport> &it) {
+            reported.insert(reported.end(), it->leavingTargets.begin(), it->leavingTargets.end());
+        });
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/a", "POST")).status);
+        CPPUNIT_ASSERT(reported == std::vector<std::string>{ "t0@0" });
+        // Refused at once, also after the platform has listed the target as ready again.
+        target.leaving = false;
+        publishTargets();
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/b", "POST")).status);
+        const Target &other = addTarget(Behaviour::Answer);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/c", "POST")).status);
+        CPPUNIT_ASSERT_EQUAL(1, target.runs);
+        CPPUNIT_ASSERT_EQUAL(1, other.runs);
+        // Another incarnation at the same address is used.
+        target.startedAtMs = 5;
+        m_targets[1]->startedAtMs = 5;
+        publishTargets();
+        m_targets[1]->behaviour = Behaviour::Reject;
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/d", "POST")).status);
+        CPPUNIT_ASSERT_EQUAL(2, target.runs);
+    }
+
+    // Guards against requests to a target during the pause that it has named, and against a verdict
+    // on its health that keeps it out after that.
+    void pauseOfATargetIsKeptAndIsNoFailure()
+    {
+        publishConfiguration();
+        Target &target = addTarget(Behaviour::Reject);
+        target.pause = "300";
+        for (int round = 1; round <= 5; ++round) {
+            const TimePoint start = m_loop->clock.now();
+            CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/a", "POST")).status);
+            CPPUNIT_ASSERT_EQUAL(round, target.rejections);
+            CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/order/a", "POST")).status);
+            CPPUNIT_ASSERT_EQUAL(round, target.rejections);
+            m_loop->runUntil([&] { return m_loop->clock.now() > start + 600ms; });
+        }
+        target.behaviour = Behaviour::Answer;
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/a", "POST")).status);
+    }
+
     // Fails if an at-most-once request is cancelled after it may have taken effect.
     void callerDisconnectDoesNotCancelAtMostOnceRequest()
     {
--- a/src/gateway/tests/servicepooltest.cpp
+++ b/src/gateway/tests/servicepooltest.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(targetGetsNoMoreRequestsThanTheLimitThatItNames);
     CPPUNIT_TEST(onlyTheOwnerUsesATargetWithALimit);
     CPPUNIT_TEST(waitForATargetWithALimitIsExpected);
+    CPPUNIT_TEST(pausedTargetGetsNothingUntilItsTimeIsOver);
+    CPPUNIT_TEST(requestIsRefusedAtOnceWhileAllTargetsPause);
+    CPPUNIT_TEST(targetReturnsGraduallyAfterAPause);
     CPPUNIT_TEST(overloadIsRefusedAtOnceWithRetryAfter);
     CPPUNIT_TEST(noTargetIsRefusedAtOnce);
     CPPUNIT_TEST(requestThatCannotMeetItsDeadlineIsNotSent);
@@ -106,6 +109,67 @@
         m_lastRequestId = 0;
     }
 
+    // Guards against requests and probes to a target that has asked for none for a time.
+    void pausedTargetGetsNothingUntilItsTimeIsOver()
+    {
+        use({ target("a"), target("b") });
+        reportLoads({ 1, 3 });
+        m_pool->pauseTarget(key(0), 3s, m_clock.now());
+        // Neither a shorter pause nor the answer to a request that was under way ends it.
+        m_pool->pauseTarget(key(0), 100ms, m_clock.now());
+        m_pool->finish(key(0), AttemptResult::Served, 10ms, m_clock.now());
+        const TimePoint end = m_clock.now() + 3s;
+        while (m_clock.now() < end) {
+            reportLoads({ 1, 1 });
+            const PoolDecisions decisions = submit();
+            for (const std::string &it : placedTargets(decisions))
+                CPPUNIT_ASSERT_EQUAL(std::string("b"), it);
+            for (const Placement &it : decisions.placements)
+                m_pool->finish(targetKey(it.target), AttemptResult::Served, 10ms, m_clock.now());
+            m_clock.advance(50ms);
+            for (const TargetRecord &it : m_pool->decide(m_clock.now()).probes)
+                CPPUNIT_ASSERT(it.id != "a" || m_clock.now() >= end);
+        }
+        m_clock.advance(1s);
+        reportLoads({ 1, 3 });
+        CPPUNIT_ASSERT(placedTargets(submit()) == std::vector<std::string>{ "a" });
+    }
+
+    // Guards against requests that wait for their deadline while no target wants them.
+    void requestIsRefusedAtOnceWhileAllTargetsPause()
+    {
+        use({ target("a"), target("b") });
+        reportLoads({ 1, 1 });
+        m_pool->pauseTarget(key(0), 400ms, m_clock.now());
+        m_pool->pauseTarget(key(1), 2s, m_clock.now());
+        for (int i = 0; i < 20; ++i) {
+            const PoolDecisions decisions = submit();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, decisions.refusals.size());
+            const Duration retryAfter = decisions.refusals[0].retryAfter;
+            CPPUNIT_ASSERT(retryAfter >= 400ms && retryAfter <= 1500ms);
+        }
+    }
+
+    // Guards against a target that gets the whole queue when its pause ends.
+    void targetReturnsGraduallyAfterAPause()
+    {
+        use({ target("a") });
+        m_targets[0].record.slots = 20;
+        use(m_targets);
+        m_pool->pauseTarget(key(0), 1s, m_clock.now());
+        m_clock.advance(1200ms);
+        const auto placedOfTen = [this] {
+            reportLoads({ 1 });
+            std::size_t n = 0;
+            for (int i = 0; i < 10; ++i)
+                n += placedTargets(submit()).size();
+            return n;
+        };
+        CPPUNIT_ASSERT(placedOfTen() < 6);
+        m_clock.advance(1s);
+        CPPUNIT_ASSERT(placedOfTen() > 4);
+    }
+
     void probesForLoadAndChoosesTheFastestTarget()
     {
         use({ target("a"), target("b") });
