Tell instances that link later which targets leave and which requests crash

Cause: reports went to the instances that were linked at the time. One that started later could offer a request that crashes targets once more, with its retry, and sent requests to a target that had said that it leaves. A target whose address still accepts connections and ends each one, as that of the soak does after a crash, was not taken for crashed. Change: the coordinator keeps the reports that hold, at most 2,000 of each kind, and sends them to each follower that links. A target that ends all of four checks without a response, and has answered nobody meanwhile, has crashed.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -43,6 +43,8 @@
     IntrusivePtr<HttpClientConnection> connection;
     TimerSubscription timer;
     int checks = 0;
+    /// Checks whose connection the target ended without a response.
+    int lostChecks = 0;
 };
 
 CrashMonitor::CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
@@ -118,17 +120,19 @@
 void CrashMonitor::check(const IntrusivePtr<LostAttempt> &attempt)
 {
     const bool hasAnswered = attempt->target->lastAnswerAt() > attempt->lostAt + kAnswerMargin;
-    if (hasAnswered || ++attempt->checks > kMaxChecks) {
+    if (hasAnswered || attempt->checks == kMaxChecks) {
         endCheck(attempt);
+        if (!hasAnswered && attempt->lostChecks == kMaxChecks)
+            recordCrash(*attempt);
         return;
     }
+    ++attempt->checks;
     const TargetRecord &target = attempt->target->record();
     attempt->connection = makeRef<HttpClientConnection>(m_context, m_timers, m_clock,
                                                         target.address, kCheckTimeouts);
     attempt->timer = m_timers.after(kCheckTimeouts.connect, [this, attempt] {
-        const IntrusivePtr<LostAttempt> it = attempt;
-        it->connection->close();
-        scheduleCheck(it);
+        attempt->connection->close();
+        scheduleCheck(IntrusivePtr<LostAttempt>(attempt));
     });
     const HttpRequest request{
         "GET", attempt->healthPath, { { "Host", target.address.toString() } }, {}
@@ -155,6 +159,7 @@
         const std::string id = m_protocol.readResponseMetadata(response).targetId;
         hasCrashed = !id.empty() && id != attempt->target->record().id;
     } else if (!refused) {
+        attempt->lostChecks += result == TransferResult::Lost ? 1 : 0;
         scheduleCheck(attempt);
         return;
     }
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -14,8 +14,9 @@
 
 /// Recognizes requests that crash the targets which run them, and shares them with the other
 /// instances of the region. A lost connection alone is no crash, since some targets reset
-/// connections when they are full: the target must then refuse connections, or another incarnation
-/// must answer at its address. Not thread-safe: use it on the event loop.
+/// connections when they are full: the target must then refuse connections or end each one without
+/// a response, or another incarnation must answer at its address. Not thread-safe: use it on the
+/// event loop.
 class CrashMonitor final
 {
 public:
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -65,6 +65,7 @@
     m_blackboard.instances.subscribe(
             [this](const IntrusivePtr<const InstanceList> &) { chooseReader(); });
     m_blackboard.reports.subscribe([this](const IntrusivePtr<const InstanceReport> &it) {
+        m_reports.add(*it, m_clock.now());
         sendReport(*it, std::nullopt);
     });
 }
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -7,6 +7,7 @@
 #include "gateway/gatewayblackboard.h"
 #include "gateway/relay/estateupdate.h"
 #include "gateway/relay/iestatesource.h"
+#include "gateway/relay/reporthistory.h"
 #include "gateway/relay/spillovercoordinator.h"
 #include "transport/ipeerlinks.h"
 
@@ -129,6 +130,7 @@
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
     absl::Status followerFrameReceived(LinkId link, std::string_view frame);
+    std::string encodeReport(const InstanceReport &report);
     /// Sends a report to the followers except \a source, and to the reader.
     void sendReport(const InstanceReport &report, std::optional<LinkId> source);
     /// Publishes the report in a frame; returns false if it contains none.
@@ -150,6 +152,8 @@
     std::map<std::string, TimePoint> m_suspects;
     std::map<LinkId, SyncedState> m_followers;
     RecordCompressor m_compressor;
+    /// Reports of this instance and of others.
+    ReportHistory m_reports;
     SpilloverCoordinator m_spillover;
     std::optional<LinkId> m_readerLink;
     /// State that was received from the reader.
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -84,13 +84,18 @@
     m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
 }
 
-void EstateCoordinator::sendReport(const InstanceReport &report, std::optional<LinkId> source)
+std::string EstateCoordinator::encodeReport(const InstanceReport &report)
 {
     EstateUpdate update;
     update.asOf = m_clock.now();
     update.crashSuspects = report.crashSuspects;
     update.leavingTargets = report.leavingTargets;
-    const std::string frame = encodeUpdate(update, m_clock.now(), m_compressor);
+    return encodeUpdate(update, m_clock.now(), m_compressor);
+}
+
+void EstateCoordinator::sendReport(const InstanceReport &report, std::optional<LinkId> source)
+{
+    const std::string frame = encodeReport(report);
     for (const auto &[link, state] : m_followers) {
         if (link != source)
             m_links.send(link, frame);
@@ -106,6 +111,7 @@
     auto report = makeRef<InstanceReport>();
     report->crashSuspects = update.crashSuspects;
     report->leavingTargets = update.leavingTargets;
+    m_reports.add(*report, m_clock.now());
     // Only the reader passes reports on, so that they cannot circulate between two instances which
     // follow each other for a moment.
     if (m_role == Role::Reader)
@@ -145,6 +151,9 @@
         m_source.readTargets();
     }
     sendUpdateTo(link);
+    const InstanceReport reports = m_reports.current(m_clock.now());
+    if (!reports.crashSuspects.empty() || !reports.leavingTargets.empty())
+        m_links.send(link, encodeReport(reports));
 }
 
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
--- /dev/null
+++ b/src/gateway/relay/reporthistory.cpp
@@ -0,0 +1,50 @@
+#include "gateway/relay/reporthistory.h"
+
+#include <algorithm>
+
+namespace lycheebay {
+
+namespace {
+
+// A target that leaves ends within seconds or, rarely, minutes.
+constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
+constexpr Duration kMaxSuspectLifetime = std::chrono::minutes(10);
+// Bounds the frame that an instance gets when it links.
+constexpr std::size_t kMaxEntries = 2000;
+
+} // namespace
+
+void ReportHistory::add(const InstanceReport &report, TimePoint now)
+{
+    removeExpired(now);
+    for (const SharedSuspect &it : report.crashSuspects) {
+        if (m_suspects.size() < kMaxEntries || m_suspects.contains(it.fingerprint))
+            m_suspects[it.fingerprint] = { it, now + std::min(it.remaining, kMaxSuspectLifetime) };
+    }
+    for (const std::string &it : report.leavingTargets) {
+        if (m_leavingTargets.size() < kMaxEntries || m_leavingTargets.contains(it))
+            m_leavingTargets[it] = now;
+    }
+}
+
+InstanceReport ReportHistory::current(TimePoint now)
+{
+    removeExpired(now);
+    InstanceReport report;
+    for (const auto &[fingerprint, it] : m_suspects) {
+        report.crashSuspects.push_back(it.reported);
+        report.crashSuspects.back().remaining = it.expiry - now;
+    }
+    for (const auto &[target, reportedAt] : m_leavingTargets)
+        report.leavingTargets.push_back(target);
+    return report;
+}
+
+void ReportHistory::removeExpired(TimePoint now)
+{
+    std::erase_if(m_suspects, [now](const auto &it) { return it.second.expiry <= now; });
+    std::erase_if(m_leavingTargets,
+                  [now](const auto &it) { return now - it.second > kLeavingLifetime; });
+}
+
+} // namespace lycheebay
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(updatesFromOtherLinksAreRejected);
     CPPUNIT_TEST(overflowOfAFollowerDecidesTheShares);
     CPPUNIT_TEST(reportsReachTheInstancesOfTheRegion);
+    CPPUNIT_TEST(instanceThatLinksLaterGetsTheReportsThatHold);
     CPPUNIT_TEST(unknownListIsNotSentAsAnEmptyOne);
     CPPUNIT_TEST(listThatWasNeverReceivedIsNotPublished);
     CPPUNIT_TEST(emptyListReplacesAKnownOne);
@@ -242,6 +243,25 @@
         CPPUNIT_ASSERT(!m_follower->blackboard.targets.read());
     }
 
+    // Guards against a request that crashes targets again behind each instance that has restarted.
+    void instanceThatLinksLaterGetsTheReportsThatHold()
+    {
+        makePair();
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { 77, 2, 30s, {} }, { 78, 1, 20ms, {} } };
+        report->leavingTargets = { "t@5" };
+        m_reader->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
+        runFor(50ms);
+        m_reader->links.sent.clear();
+        m_reader->coordinator.linkOpened(kLink + 1, false, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
+        const auto update = decodeUpdate(m_reader->links.sent[0].second, m_loop->clock.now());
+        CPPUNIT_ASSERT(update.ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, update->crashSuspects.size());
+        CPPUNIT_ASSERT(update->crashSuspects[0].remaining < 30s);
+        CPPUNIT_ASSERT(update->leavingTargets == report->leavingTargets);
+    }
+
     // Guards against instances that name no address: the reader started last, sent an update before
     // it knew any instance, and its followers replaced their list by an empty one (review, case 3).
     void unknownListIsNotSentAsAnEmptyOne()
