Do not copy the lists of targets and instances for each update

Cause: since the lists that a link has not got yet are null, each update copied the last list sent with value_or(), for each follower, besides the copy of the new list that there was before. Change: syncList() compares in place and keeps the new list only if it differs. The frames are the same.

--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -7,6 +7,19 @@
 
 namespace {
 
+/// Returns the changes since the list was last sent, and notes the new one as sent.
+template <typename T>
+ListDiff<T> syncList(std::optional<std::vector<T>> &sent, const std::vector<T> &current)
+{
+    if (!sent)
+        sent.emplace();
+    ListDiff<T> diff = computeDiff(*sent, current);
+    // Most updates change nothing; the list is then not copied.
+    if (!diff.empty())
+        *sent = current;
+    return diff;
+}
+
 template <typename T>
 void applyReceived(std::optional<std::vector<T>> &list, const std::optional<ListDiff<T>> &diff)
 {
@@ -58,16 +71,10 @@
     update.operatorRecords = m_source.operatorRecordsSince(sent.operatorRecordsPosition);
     update.targetsPosition = m_source.targetsPosition();
     sent.operatorRecordsPosition = update.operatorRecords.position;
-    if (const auto targets = m_blackboard.targets.read()) {
-        update.targets =
-                computeDiff(sent.targets.value_or(std::vector<TargetRecord>()), targets->targets);
-        sent.targets = targets->targets;
-    }
-    if (const auto instances = m_blackboard.instances.read()) {
-        update.instances = computeDiff(sent.instances.value_or(std::vector<GatewayInstance>()),
-                                       instances->instances);
-        sent.instances = instances->instances;
-    }
+    if (const auto targets = m_blackboard.targets.read())
+        update.targets = syncList(sent.targets, targets->targets);
+    if (const auto instances = m_blackboard.instances.read())
+        update.instances = syncList(sent.instances, instances->instances);
     if (const auto shares = m_blackboard.localShares.read())
         update.localShares = shares->shares;
     m_links.send(link, encodeUpdate(update, m_clock.now(), m_compressor));
