Use one identity of a request for outcomes and crash suspects

Cause: fingerprintOf() of the gateway hashed method, host, target and body by itself, beside identifyRequest(), from which lycheebayd takes the fingerprint. That one copied the whole request into a text first. Change: the gateway calls identifyRequest(), which now hashes the parts without a copy. Its values are the same; hash64() takes parts for that.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -1,7 +1,7 @@
 #include "gateway/internal/crashmonitor.h"
 
-#include "base/hash.h"
 #include "http/httpserialization.h"
+#include "outcomes/outcometable.h"
 
 #include <fmt/format.h>
 
@@ -27,9 +27,7 @@
 Fingerprint fingerprintOf(const HttpRequest &request)
 {
     const std::string *host = findHeader(request.headers, "Host");
-    const Fingerprint head = hash64(fmt::format("{}\n{}\n{}", request.method,
-                                                host ? *host : std::string(), request.target));
-    return hash64(request.body, head);
+    return identifyRequest(request, host ? *host : std::string()).low;
 }
 
 /// An attempt whose target is being checked.
--- a/src/outcomes/outcometable.cpp
+++ b/src/outcomes/outcometable.cpp
@@ -29,10 +29,13 @@
 RequestIdentity identifyRequest(const HttpRequest &request, std::string_view tenant)
 {
     // The lengths make the encoding injective: different requests have different texts.
-    const std::string text = fmt::format("{}:{}:{}:{}\n{}{}{}{}", request.method.size(),
-                                         request.target.size(), tenant.size(), request.body.size(),
-                                         request.method, request.target, tenant, request.body);
-    return { hash64(text, 1), hash64(text, 2) };
+    const std::string lengths =
+            fmt::format("{}:{}:{}:{}\n", request.method.size(), request.target.size(),
+                        tenant.size(), request.body.size());
+    const auto hash = [&](std::uint64_t seed) {
+        return hash64({ lengths, request.method, request.target, tenant, request.body }, seed);
+    };
+    return { hash(1), hash(2) };
 }
 
 struct OutcomeTable::Entry : ListNode<BodyTag>
--- a/src/outcomes/tests/outcomestest.cpp
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -1,3 +1,4 @@
+#include "base/hash.h"
 #include "base/manualclock.h"
 #include "outcomes/crashsuspects.h"
 #include "outcomes/outcometable.h"
@@ -20,6 +21,7 @@
     CPPUNIT_TEST(bodiesAreEvictedBeforeKeys);
     CPPUNIT_TEST(notRunMayRunAgainAndUnknownMayNot);
     CPPUNIT_TEST(suspectRunsExclusivelyAndIsThenRefused);
+    CPPUNIT_TEST(hashOfPartsIsThatOfTheWhole);
     CPPUNIT_TEST(crashIsCountedFromTheLossOfTheRun);
     CPPUNIT_TEST(runsLostTogetherCountOnce);
     CPPUNIT_TEST(answeredRequestIsNotSuspected);
@@ -159,6 +161,15 @@
         CPPUNIT_ASSERT(begin("a") == KeyState::Unknown);
     }
 
+    // Guards against identities that differ between instances which hash requests in different
+    // ways.
+    void hashOfPartsIsThatOfTheWhole()
+    {
+        const std::string part(700, 'x');
+        CPPUNIT_ASSERT_EQUAL(hash64("ab", 2), hash64({ "a", "", "b" }, 2));
+        CPPUNIT_ASSERT_EQUAL(hash64(part + "y" + part, 1), hash64({ part, "y", part }, 1));
+    }
+
     LostRun lostNow() const { return { m_clock.now(), m_clock.now() }; }
 
     // Guards against a second crash that is taken for a part of the first one because the first was
