--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -196,12 +196,6 @@
         m_reader->links.sent.clear();
     }
 
-    void runFor(Duration span)
-    {
-        const TimePoint end = m_loop->clock.now() + span;
-        m_loop->runUntil([&] { return m_loop->clock.now() >= end; });
-    }
-
 public:
     void setUp() override { m_loop = std::make_unique<LoopFixture>(); }
 
@@ -214,7 +208,7 @@
     }
 
     // Guards against a request that crashes targets behind each instance in turn, and against
-    // requests to a target that has told another instance that it leaves.
+    // requests to a target that leaves, as another instance knows.
     void reportsReachTheInstancesOfTheRegion()
     {
         static constexpr LinkId kOtherLink = 8;
@@ -251,7 +245,7 @@
         report->crashSuspects = { { 77, 2, 30s, {} }, { 78, 1, 20ms, {} } };
         report->leavingTargets = { "t@5" };
         m_reader->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
-        runFor(50ms);
+        m_loop->runFor(50ms);
         m_reader->links.sent.clear();
         m_reader->coordinator.linkOpened(kLink + 1, false, {});
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
@@ -449,7 +443,7 @@
         m_follower->coordinator.markInUse();
         const int before = m_follower->source.reads;
         for (int i = 0; i < 4; ++i) {
-            runFor(500ms);
+            m_loop->runFor(500ms);
             m_reader->reportTargets("t");
             deliverFrames();
         }
@@ -465,7 +459,7 @@
         makePair();
         // An instance that has just started waits longer for its first update.
         for (int i = 0; i < 7; ++i) {
-            runFor(500ms);
+            m_loop->runFor(500ms);
             m_reader->reportTargets("t");
             deliverFrames();
         }
@@ -554,7 +548,7 @@
     {
         makePair();
         for (int i = 0; i < 5; ++i) {
-            runFor(500ms);
+            m_loop->runFor(500ms);
             m_reader->reportTargets("t");
             deliverFrames();
         }
@@ -611,7 +605,7 @@
         Instance follower(*m_loop, m_random, "10.0.0.1:80");
         publishLargeInstances(follower);
         const std::string first = follower.links.desired.at(0).host;
-        runFor(2500ms);
+        m_loop->runFor(2500ms);
         follower.coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
         follower.reportTargets("t", false);
         CPPUNIT_ASSERT_EQUAL(first, follower.links.desired.at(0).host);
@@ -627,7 +621,7 @@
         const TimePoint asOf = m_loop->clock.now();
         const int before = m_reader->source.reads;
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_reader->source.reads > before; }));
-        runFor(kCallTimeout);
+        m_loop->runFor(kCallTimeout);
         m_reader->coordinator.targetsRead(nullptr, m_loop->clock.now(), true);
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_reader->source.reads > before + 1; }));
         CPPUNIT_ASSERT(m_loop->clock.now() - asOf < 1500ms);
@@ -690,7 +684,7 @@
         m_follower->coordinator.instancesChanged();
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 1; }));
         m_follower->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
-        runFor(100ms);
+        m_loop->runFor(100ms);
         CPPUNIT_ASSERT(!m_follower->source.pollTimeout);
         CPPUNIT_ASSERT_EQUAL(0, m_follower->source.instanceReads);
         m_follower->reportTargets("t");
@@ -711,7 +705,7 @@
         CPPUNIT_ASSERT_EQUAL(1, m_follower->source.reads);
         m_reader->reportTargets("t");
         deliverFrames();
-        runFor(700ms);
+        m_loop->runFor(700ms);
         CPPUNIT_ASSERT_EQUAL(1, m_follower->source.reads);
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_follower->source.reads == 2; }));
         m_follower->coordinator.targetsRead(nullptr, m_loop->clock.now(), false);
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -622,12 +622,6 @@
         CPPUNIT_ASSERT_EQUAL(429, waitForResponse(sendRequest("/lookup/a")).status);
     }
 
-    void runFor(Duration span)
-    {
-        const TimePoint end = m_loop->clock.now() + span;
-        m_loop->runUntil([&] { return m_loop->clock.now() >= end; });
-    }
-
     // Guards against a request that crashes one target after another each time it comes (review,
     // case 4). Until the first crashes are confirmed it has its usual retry.
     void requestThatCrashesItsTargetsIsRefused()
@@ -637,7 +631,7 @@
             addTarget(Behaviour::Crash);
         CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/lookup/poison")).status);
         CPPUNIT_ASSERT_EQUAL(2, totalRuns());
-        runFor(600ms);
+        m_loop->runFor(600ms);
         for (int i = 0; i < 3; ++i) {
             const HttpResponse response = waitForResponse(sendRequest("/lookup/poison"));
             CPPUNIT_ASSERT_EQUAL(503, response.status);
@@ -658,7 +652,7 @@
         addTarget(Behaviour::CloseConnection);
         for (int i = 0; i < 3; ++i) {
             CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/lookup/a")).status);
-            runFor(500ms);
+            m_loop->runFor(500ms);
         }
         CPPUNIT_ASSERT(totalRuns() > 3);
     }
@@ -771,7 +765,7 @@
         m_gateway->beginShutdown();
         while (!m_gateway->shouldExit()) {
             answers.push_back(sendRequest("/order/a", "POST"));
-            runFor(30ms);
+            m_loop->runFor(30ms);
         }
         int served = 0;
         int refused = 0;
@@ -801,7 +795,7 @@
             CPPUNIT_ASSERT(m_loop->runUntil([&] { return target.runs == i + 1; }));
         }
         const auto queued = sendRequest("/order/b", "POST");
-        runFor(50ms);
+        m_loop->runFor(50ms);
         CPPUNIT_ASSERT(!queued->received);
         m_gateway->beginShutdown();
         CPPUNIT_ASSERT(m_loop->runUntil([&] { return m_gateway->shouldExit(); }));
--- a/src/http/tests/loopfixture.h
+++ b/src/http/tests/loopfixture.h
@@ -24,6 +24,13 @@
         return condition();
     }
 
+    /// Runs handlers for \a span.
+    void runFor(Duration span)
+    {
+        const TimePoint end = clock.now() + span;
+        runUntil([&] { return clock.now() >= end; });
+    }
+
     asio::io_context context{ 1 };
     SystemClock clock;
     LoopTimerService timers{ context };
