--- a/src/gateway/estateview.h
+++ b/src/gateway/estateview.h
@@ -98,13 +98,26 @@
     std::vector<RegionOverflow> regions;
 };
 
-/// What an instance has observed of targets and tells the other instances of its region.
-struct InstanceReport : RefCounted
+/// What instances have observed of targets.
+struct Observations
 {
     /// Requests that are suspected of crashing targets.
     std::vector<SharedSuspect> crashSuspects;
     /// Keys of targets that have stated in a response that they leave.
     std::vector<std::string> leavingTargets;
+
+    bool empty() const { return crashSuspects.empty() && leavingTargets.empty(); }
+
+    auto operator<=>(const Observations &) const = default;
+};
+
+/// Observations that an instance reports to the others of its region.
+struct InstanceReport : RefCounted, Observations
+{
+    InstanceReport() = default;
+    explicit InstanceReport(Observations observations)
+        : Observations(std::move(observations))
+    {}
 };
 
 /// Share of the callers in this region that stay here although \a homeRegion serves some of their
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -187,7 +187,6 @@
 {
     const auto configuration = m_blackboard.configuration.read();
     const auto instances = m_blackboard.instances.read();
-    const auto &targets = m_targets;
     const auto drained = m_blackboard.drainedDomains.read();
     if (!configuration || !instances)
         return {};
@@ -202,7 +201,7 @@
             m_addressCache.clear();
         const TargetList noTargets;
         const DrainedDomains noDomains;
-        const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
+        const DispatchInputs inputs{ *configuration, m_targets ? *m_targets : noTargets,
                                      drained ? *drained : noDomains, *instances,
                                      m_settings.regions };
         known = m_addressCache.emplace(key, addressCandidates(inputs, placed)).first;
@@ -273,7 +272,6 @@
     if (!configuration)
         return;
     m_targets = m_leavingTargets.apply(m_blackboard.targets.read());
-    const auto &targets = m_targets;
     invalidateAddressCache();
     const bool ownershipKnown =
             instances && m_context.clock.now() - m_startedAt >= kColdTargetHoldOff;
@@ -281,12 +279,12 @@
     if (instances)
         instanceCount = instances->instances.size();
     m_metrics.setInstances(instanceCount.value_or(1));
-    m_metrics.setTargets(targets ? targets->targets.size() : 0);
+    m_metrics.setTargets(m_targets ? m_targets->targets.size() : 0);
     const TargetList noTargets;
     const DrainedDomains noDomains;
     const InstanceList noInstances;
     const auto drained = m_blackboard.drainedDomains.read();
-    const DispatchInputs inputs{ *configuration, targets ? *targets : noTargets,
+    const DispatchInputs inputs{ *configuration, m_targets ? *m_targets : noTargets,
                                  drained ? *drained : noDomains,
                                  instances ? *instances : noInstances, m_settings.regions };
     const TargetOwnership ownership(inputs);
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -27,7 +27,6 @@
 // of the target latency.
 constexpr int kLateWaitDivisor = 4;
 constexpr double kPercent = 100;
-constexpr Duration kRefusalRetryAfter = milliseconds(200);
 
 const char *resultName(AttemptResult result)
 {
@@ -341,10 +340,7 @@
     leaveQueue();
     abandonForwarding();
     abandonAttempts();
-    if (m_executionState == ExecutionState::NotRun)
-        refuse("deadline", kRefusalRetryAfter);
-    else
-        fail(httpstatus::kGatewayTimeout, "deadline");
+    refuse("deadline", kRefusalRetryAfter);
 }
 
 void ProxiedRequest::callerDisconnected()
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -48,6 +48,9 @@
 private:
     using AttemptPtr = IntrusivePtr<ProxyAttempt>;
 
+    /// Retry-After of refusals for which no better time is known.
+    static constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
+
     /// Whether a target may have run this request.
     enum class ExecutionState { NotRun, MayHaveRun };
 
@@ -98,6 +101,7 @@
     /// Answers with a target's response. Its status is replaced if it would promise that the
     /// request has not run although it may have.
     void deliver(HttpResponse response);
+    /// Answers that the request has not run, or that its outcome is unknown if it may have.
     void refuse(const char *reason, Duration retryAfter);
     void fail(int status, const char *reason);
     void answer(const HttpResponse &response, const char *outcome);
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -5,13 +5,6 @@
 
 namespace lycheebay {
 
-namespace {
-
-// Retry-After of a suspected request while another run of it is in progress.
-constexpr Duration kMinSuspectRetryAfter = std::chrono::milliseconds(200);
-
-} // namespace
-
 void ProxiedRequest::hedgeDelayEnded(const AttemptPtr &attempt)
 {
     if (attempt->ended || m_queued)
@@ -25,8 +18,9 @@
     m_runsExclusively = admission == Admission::Exclusive;
     if (m_runsExclusively || admission == Admission::Unrestricted)
         return true;
-    refuse("crash_suspect",
-           std::max(m_context.crashes.refusedFor(m_fingerprint), kMinSuspectRetryAfter));
+    // Another run of it may be in progress; the request is not refused for a time then.
+    const Duration left = m_context.crashes.refusedFor(m_fingerprint);
+    refuse("crash_suspect", std::max(left, kRefusalRetryAfter));
     return false;
 }
 
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -130,9 +130,9 @@
     void sendUpdateTo(LinkId link);
     void releaseWaitingRequests();
     absl::Status followerFrameReceived(LinkId link, std::string_view frame);
-    std::string encodeReport(const InstanceReport &report);
+    std::string encodeObservations(const Observations &observations);
     /// Sends a report to the followers except \a source, and to the reader.
-    void sendReport(const InstanceReport &report, std::optional<LinkId> source);
+    void sendReport(const Observations &report, std::optional<LinkId> source);
     /// Publishes the report in a frame; returns false if it contains none.
     bool reportReceived(LinkId link, const EstateUpdate &update);
     void sendOverflowToReader(const OverflowCounts &counts);
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -91,18 +91,17 @@
     m_links.send(*m_readerLink, encodeUpdate(update, m_clock.now(), m_compressor));
 }
 
-std::string EstateCoordinator::encodeReport(const InstanceReport &report)
+std::string EstateCoordinator::encodeObservations(const Observations &observations)
 {
     EstateUpdate update;
     update.asOf = m_clock.now();
-    update.crashSuspects = report.crashSuspects;
-    update.leavingTargets = report.leavingTargets;
+    update.observations = observations;
     return encodeUpdate(update, m_clock.now(), m_compressor);
 }
 
-void EstateCoordinator::sendReport(const InstanceReport &report, std::optional<LinkId> source)
+void EstateCoordinator::sendReport(const Observations &report, std::optional<LinkId> source)
 {
-    const std::string frame = encodeReport(report);
+    const std::string frame = encodeObservations(report);
     for (const auto &[link, state] : m_followers) {
         if (link != source)
             m_links.send(link, frame);
@@ -113,17 +112,15 @@
 
 bool EstateCoordinator::reportReceived(LinkId link, const EstateUpdate &update)
 {
-    if (update.crashSuspects.empty() && update.leavingTargets.empty())
+    if (update.observations.empty())
         return false;
-    auto report = makeRef<InstanceReport>();
-    report->crashSuspects = update.crashSuspects;
-    report->leavingTargets = update.leavingTargets;
+    const IntrusivePtr<const InstanceReport> report = makeRef<InstanceReport>(update.observations);
     m_reports.add(*report, m_clock.now());
     // Only the reader passes reports on, so that they cannot circulate between two instances which
     // follow each other for a moment.
     if (m_role == Role::Reader)
         sendReport(*report, link);
-    m_blackboard.peerReports.publish(IntrusivePtr<const InstanceReport>(report));
+    m_blackboard.peerReports.publish(report);
     return true;
 }
 
@@ -158,9 +155,9 @@
         m_source.readTargets();
     }
     sendUpdateTo(link);
-    const InstanceReport reports = m_reports.current(m_clock.now());
-    if (!reports.crashSuspects.empty() || !reports.leavingTargets.empty())
-        m_links.send(link, encodeReport(reports));
+    const Observations reported = m_reports.current(m_clock.now());
+    if (!reported.empty())
+        m_links.send(link, encodeObservations(reported));
 }
 
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -172,20 +172,20 @@
     return absl::OkStatus();
 }
 
-absl::Status decodeReport(const relaywire::EstateUpdate &message, EstateUpdate &update)
+absl::Status decodeObservations(const relaywire::EstateUpdate &message, EstateUpdate &update)
 {
     // The count only tells whether a request is refused.
     static constexpr std::uint32_t kMaxCrashCount = 100;
     if (message.crash_suspects()) {
         for (const relaywire::CrashSuspect *it : *message.crash_suspects()) {
             const std::uint32_t count = std::min(it->crash_count(), kMaxCrashCount);
-            update.crashSuspects.push_back({ it->fingerprint(),
-                                             static_cast<int>(count),
-                                             milliseconds(it->remaining_ms()),
-                                             {} });
+            update.observations.crashSuspects.push_back({ it->fingerprint(),
+                                                          static_cast<int>(count),
+                                                          milliseconds(it->remaining_ms()),
+                                                          {} });
         }
     }
-    return decodeNames(message.leaving_targets(), update.leavingTargets);
+    return decodeNames(message.leaving_targets(), update.observations.leavingTargets);
 }
 
 absl::Status decodeRecord(const relaywire::OperatorRecord &record, OperatorRecords &records)
@@ -323,14 +323,14 @@
         overflow->sent = static_cast<std::uint32_t>(it.sent);
         message.overflow.push_back(std::move(overflow));
     }
-    for (const SharedSuspect &it : update.crashSuspects) {
+    for (const SharedSuspect &it : update.observations.crashSuspects) {
         auto suspect = std::make_unique<relaywire::CrashSuspectT>();
         suspect->fingerprint = it.fingerprint;
         suspect->crash_count = static_cast<std::uint32_t>(it.crashCount);
         suspect->remaining_ms = toMsRoundedUp(it.remaining);
         message.crash_suspects.push_back(std::move(suspect));
     }
-    message.leaving_targets = update.leavingTargets;
+    message.leaving_targets = update.observations.leavingTargets;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::EstateUpdate::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
@@ -352,7 +352,7 @@
     if (status.ok())
         status = decodeSpillover(*message, update);
     if (status.ok())
-        status = decodeReport(*message, update);
+        status = decodeObservations(*message, update);
     if (!status.ok())
         return status;
     return update;
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -63,8 +63,7 @@
     std::vector<RegionOverflow> overflow;
     /// What instances have observed; only in a frame that contains nothing else, in either
     /// direction.
-    std::vector<SharedSuspect> crashSuspects;
-    std::vector<std::string> leavingTargets;
+    Observations observations;
 
     auto operator<=>(const EstateUpdate &) const = default;
 };
--- a/src/gateway/relay/reporthistory.cpp
+++ b/src/gateway/relay/reporthistory.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void ReportHistory::add(const InstanceReport &report, TimePoint now)
+void ReportHistory::add(const Observations &report, TimePoint now)
 {
     removeExpired(now);
     for (const SharedSuspect &it : report.crashSuspects) {
@@ -27,17 +27,17 @@
     }
 }
 
-InstanceReport ReportHistory::current(TimePoint now)
+Observations ReportHistory::current(TimePoint now)
 {
     removeExpired(now);
-    InstanceReport report;
+    Observations reported;
     for (const auto &[fingerprint, it] : m_suspects) {
-        report.crashSuspects.push_back(it.reported);
-        report.crashSuspects.back().remaining = it.expiry - now;
+        reported.crashSuspects.push_back(it.reported);
+        reported.crashSuspects.back().remaining = it.expiry - now;
     }
     for (const auto &[target, reportedAt] : m_leavingTargets)
-        report.leavingTargets.push_back(target);
-    return report;
+        reported.leavingTargets.push_back(target);
+    return reported;
 }
 
 void ReportHistory::removeExpired(TimePoint now)
--- a/src/gateway/relay/reporthistory.h
+++ b/src/gateway/relay/reporthistory.h
@@ -11,9 +11,9 @@
 class ReportHistory final
 {
 public:
-    void add(const InstanceReport &report, TimePoint now);
+    void add(const Observations &report, TimePoint now);
     /// Returns all reports that still hold, as one.
-    InstanceReport current(TimePoint now);
+    Observations current(TimePoint now);
 
 private:
     struct Suspect
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -251,9 +251,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.sent.size());
         const auto update = decodeUpdate(m_reader->links.sent[0].second, m_loop->clock.now());
         CPPUNIT_ASSERT(update.ok());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, update->crashSuspects.size());
-        CPPUNIT_ASSERT(update->crashSuspects[0].remaining < 30s);
-        CPPUNIT_ASSERT(update->leavingTargets == report->leavingTargets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, update->observations.crashSuspects.size());
+        CPPUNIT_ASSERT(update->observations.crashSuspects[0].remaining < 30s);
+        CPPUNIT_ASSERT(update->observations.leavingTargets == report->leavingTargets);
     }
 
     // Guards against instances that name no address: the reader started last, sent an update before
@@ -325,8 +325,7 @@
             { { "home", 0.25 } },
             9,
             { { "far", 4, 5 } },
-            { { 77, 2, 30s, {} } },
-            { "t@5" }
+            { { { 77, 2, 30s, {} } }, { "t@5" } }
         };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeUpdate(encodeUpdate(update, now, m_compressor), later);
