Log what becomes of a lost attempt and of the suspicion that follows

Cause: crash_suspected was the only trace of a request that crashes targets. Change: attempt_lost, crash_check_ended, suspect_received, suspicion_cleared and reports_sent, and a counter of checks by verdict. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,7 +34,7 @@
     , m_blackboard(blackboard)
     , m_metrics(metrics)
     , m_log(clock, m_settings.maxLogLinesPerSecond)
-    , m_crashes(context, timers, clock, protocol, blackboard, m_log)
+    , m_crashes(context, timers, clock, protocol, blackboard, metrics, m_log)
     , m_leavingTargets(clock, blackboard, m_log, [this] { scheduleConfiguration(); })
     , m_context{ context, timers,     clock,     random,           protocol,   metrics,
                  m_log,   m_overflow, m_crashes, m_leavingTargets, m_requests, m_settings.region }
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -52,6 +52,8 @@
     , m_connections(counterFamily(m_registry, "lycheebay_gateway_target_connections_total",
                                   "Connections opened to targets for requests.")
                             .Add({}))
+    , m_crashChecks(counterFamily(m_registry, "lycheebay_gateway_crash_checks_total",
+                                  "Lost attempts by whether the target had crashed."))
     , m_addressAnswers(counterFamily(m_registry, "lycheebay_gateway_address_answers_total",
                                      "Address answers to callers."))
     , m_storeCalls(counterFamily(m_registry, "lycheebay_gateway_store_calls_total",
@@ -104,6 +106,11 @@
     m_connections.Increment();
 }
 
+void GatewayMetrics::countCrashCheck(const std::string &verdict)
+{
+    m_crashChecks.Add({ { "verdict", verdict } }).Increment();
+}
+
 void GatewayMetrics::countAddressAnswer(bool empty)
 {
     m_addressAnswers.Add({ { "result", empty ? "empty" : "addresses" } }).Increment();
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -28,6 +28,8 @@
     /// Counts a request that was forwarded to another instance, by its result.
     void countForward(const std::string &result);
     void countConnectionOpened();
+    /// Counts a check whether a target has crashed under a request, by its verdict.
+    void countCrashCheck(const std::string &verdict);
     void countAddressAnswer(bool empty);
     void countStoreCall(const std::string &call, const std::string &result);
     void setConfigurationVersion(std::uint64_t version);
@@ -48,6 +50,7 @@
     prometheus::Family<prometheus::Counter> &m_probes;
     prometheus::Family<prometheus::Counter> &m_forwards;
     prometheus::Counter &m_connections;
+    prometheus::Family<prometheus::Counter> &m_crashChecks;
     prometheus::Family<prometheus::Counter> &m_addressAnswers;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Gauge &m_configurationVersion;
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -47,19 +47,18 @@
 
 CrashMonitor::CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
                            const ITargetProtocol &protocol, GatewayBlackboard &blackboard,
-                           DecisionLog &log)
+                           GatewayMetrics &metrics, DecisionLog &log)
     : m_context(context)
     , m_timers(timers)
     , m_clock(clock)
     , m_protocol(protocol)
     , m_blackboard(blackboard)
+    , m_metrics(metrics)
     , m_log(log)
     , m_suspects(kLimits)
 {
-    m_blackboard.peerReports.subscribe([this](const IntrusivePtr<const InstanceReport> &report) {
-        for (const SharedSuspect &it : report->crashSuspects)
-            m_suspects.mergeFromPeer(it, m_clock.now());
-    });
+    m_blackboard.peerReports.subscribe(
+            [this](const IntrusivePtr<const InstanceReport> &it) { adoptReport(*it); });
 }
 
 CrashMonitor::~CrashMonitor()
@@ -71,6 +70,25 @@
     }
 }
 
+void CrashMonitor::write(LogFields &fields, Fingerprint fingerprint)
+{
+    fields.add("fingerprint", fmt::format("{:016x}", fingerprint));
+    m_log.write(fields);
+}
+
+void CrashMonitor::adoptReport(const InstanceReport &report)
+{
+    for (const SharedSuspect &it : report.crashSuspects) {
+        const bool isNew = !isSuspected(it.fingerprint);
+        m_suspects.mergeFromPeer(it, m_clock.now());
+        if (!isNew)
+            continue;
+        LogFields fields("suspect_received");
+        fields.add("crashes", it.crashCount).addMs("remaining_ms", it.remaining);
+        write(fields, it.fingerprint);
+    }
+}
+
 Admission CrashMonitor::admit(Fingerprint fingerprint)
 {
     return m_suspects.admit(fingerprint, m_clock.now());
@@ -88,6 +106,10 @@
 
 void CrashMonitor::recordResponse(Fingerprint fingerprint)
 {
+    if (isSuspected(fingerprint)) {
+        LogFields fields("suspicion_cleared");
+        write(fields, fingerprint);
+    }
     m_suspects.recordResponse(fingerprint, m_clock.now());
 }
 
@@ -96,8 +118,10 @@
                                      const std::string &healthPath)
 {
     // Very many attempts are lost together only when a failure domain fails.
-    if (m_checks.size() >= kMaxConcurrentChecks)
+    if (m_checks.size() >= kMaxConcurrentChecks) {
+        m_metrics.countCrashCheck("skipped");
         return;
+    }
     auto attempt = makeRef<LostAttempt>();
     attempt->fingerprint = fingerprint;
     attempt->began = began;
@@ -119,8 +143,10 @@
 {
     const bool hasAnswered = attempt->target->lastAnswerAt() > attempt->lostAt + kAnswerMargin;
     if (hasAnswered || attempt->checks == kMaxChecks) {
-        endCheck(attempt);
-        if (!hasAnswered && attempt->lostChecks == kMaxChecks)
+        const bool hasCrashed = !hasAnswered && attempt->lostChecks == kMaxChecks;
+        const char *unanswered = hasCrashed ? "crashed" : "silent";
+        endCheck(attempt, hasAnswered ? "alive" : unanswered);
+        if (hasCrashed)
             recordCrash(*attempt);
         return;
     }
@@ -141,10 +167,15 @@
                               });
 }
 
-void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt)
+void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt, const char *verdict)
 {
     attempt->timer.reset();
     std::erase(m_checks, attempt);
+    m_metrics.countCrashCheck(verdict);
+    LogFields fields("crash_check_ended");
+    fields.add("target", attempt->target->record().id).add("verdict", verdict);
+    fields.addMs("after_ms", m_clock.now() - attempt->lostAt);
+    write(fields, attempt->fingerprint);
 }
 
 void CrashMonitor::checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
@@ -161,7 +192,7 @@
         scheduleCheck(attempt);
         return;
     }
-    endCheck(attempt);
+    endCheck(attempt, hasCrashed ? "crashed" : "alive");
     if (hasCrashed)
         recordCrash(*attempt);
 }
@@ -173,9 +204,8 @@
     if (suspect.crashCount == 0)
         return;
     LogFields fields("crash_suspected");
-    fields.add("fingerprint", fmt::format("{:016x}", attempt.fingerprint));
     fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
-    m_log.write(fields);
+    write(fields, attempt.fingerprint);
     auto report = makeRef<InstanceReport>();
     report->crashSuspects = { suspect };
     m_blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gatewayblackboard.h"
+#include "gateway/gatewaymetrics.h"
 #include "gateway/internal/decisionlog.h"
 #include "gateway/internal/targetconnections.h"
 #include "gateway/itargetprotocol.h"
@@ -22,7 +23,8 @@
 public:
     /// Precondition: the references outlive the monitor.
     CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
-                 const ITargetProtocol &protocol, GatewayBlackboard &blackboard, DecisionLog &log);
+                 const ITargetProtocol &protocol, GatewayBlackboard &blackboard,
+                 GatewayMetrics &metrics, DecisionLog &log);
     ~CrashMonitor();
     CrashMonitor(const CrashMonitor &) = delete;
     CrashMonitor &operator=(const CrashMonitor &) = delete;
@@ -47,16 +49,20 @@
 
     void scheduleCheck(const IntrusivePtr<LostAttempt> &attempt);
     void check(const IntrusivePtr<LostAttempt> &attempt);
-    void endCheck(const IntrusivePtr<LostAttempt> &attempt);
+    /// Ends the check of the attempt with a verdict for the log.
+    void endCheck(const IntrusivePtr<LostAttempt> &attempt, const char *verdict);
     void checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
                     const HttpResponse &response);
     void recordCrash(const LostAttempt &attempt);
+    void adoptReport(const InstanceReport &report);
+    void write(LogFields &fields, Fingerprint fingerprint);
 
     asio::io_context &m_context;
     ITimerService &m_timers;
     const IClock &m_clock;
     const ITargetProtocol &m_protocol;
     GatewayBlackboard &m_blackboard;
+    GatewayMetrics &m_metrics;
     DecisionLog &m_log;
     CrashSuspects m_suspects;
     std::vector<IntrusivePtr<LostAttempt>> m_checks;
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/proxiedrequest.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -29,6 +31,10 @@
     const TargetRecord &target = attempt->targetConnections->record();
     const bool hasBytes = attempt->connection->lastReadAt() >= attempt->sentAt;
     const bool isLeaving = target.leaving || m_context.leavingTargets.contains(targetKey(target));
+    LogFields fields = logFields("attempt_lost");
+    fields.add("target", target.id).add("fingerprint", fmt::format("{:016x}", m_fingerprint));
+    fields.add("has_bytes", hasBytes ? 1 : 0).add("target_leaving", isLeaving ? 1 : 0);
+    m_context.log.write(fields);
     if (!hasBytes && !isLeaving) {
         m_context.crashes.recordLostAttempt(m_fingerprint, attempt->sentAt,
                                             attempt->targetConnections, m_dispatcher.healthPath());
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -156,8 +156,12 @@
     }
     sendUpdateTo(link);
     const Observations reported = m_reports.current(m_clock.now());
-    if (!reported.empty())
-        m_links.send(link, encodeObservations(reported));
+    if (reported.empty())
+        return;
+    LOG4CPLUS_INFO(m_logger, "event=reports_sent link=" << link << " suspects="
+                                     << reported.crashSuspects.size()
+                                     << " leaving=" << reported.leavingTargets.size());
+    m_links.send(link, encodeObservations(reported));
 }
 
 absl::Status EstateCoordinator::frameReceived(LinkId link, std::string_view frame)
