--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -158,8 +158,8 @@
     const Observations reported = m_reports.current(m_clock.now());
     if (reported.empty())
         return;
-    LOG4CPLUS_INFO(m_logger, "event=reports_sent link=" << link << " suspects="
-                                     << reported.crashSuspects.size()
+    LOG4CPLUS_INFO(m_logger, "event=reports_sent link="
+                                     << link << " suspects=" << reported.crashSuspects.size()
                                      << " leaving=" << reported.leavingTargets.size());
     m_links.send(link, encodeObservations(reported));
 }
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(overflowOfAFollowerDecidesTheShares);
     CPPUNIT_TEST(reportsReachTheInstancesOfTheRegion);
     CPPUNIT_TEST(instanceThatLinksLaterGetsTheReportsThatHold);
+    CPPUNIT_TEST(newReaderGetsTheReportsOfItsFollowers);
+    CPPUNIT_TEST(reportWithoutALinkIsSentOnTheNextOne);
     CPPUNIT_TEST(unknownListIsNotSentAsAnEmptyOne);
     CPPUNIT_TEST(listThatWasNeverReceivedIsNotPublished);
     CPPUNIT_TEST(emptyListReplacesAKnownOne);
@@ -256,6 +258,45 @@
         CPPUNIT_ASSERT(update->observations.leavingTargets == report->leavingTargets);
     }
 
+    // Guards against a request that crashes targets behind an instance that was restarted and is
+    // the reader again, although its followers know the request.
+    void newReaderGetsTheReportsOfItsFollowers()
+    {
+        makePair();
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { 77, 2, 30s, {} } };
+        report->leavingTargets = { "t@5" };
+        m_reader->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
+        deliverFrames();
+        CPPUNIT_ASSERT(m_follower->blackboard.peerReports.read());
+        m_follower->coordinator.linkClosed(kLink);
+        const auto restarted = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.1:80");
+        restarted->coordinator.linkOpened(kLink, false, {});
+        m_follower->links.sent.clear();
+        m_follower->coordinator.linkOpened(kLink, true, {});
+        for (const auto &[link, frame] : m_follower->links.sent)
+            CPPUNIT_ASSERT(restarted->coordinator.frameReceived(kLink, frame).ok());
+        const auto received = restarted->blackboard.peerReports.read();
+        CPPUNIT_ASSERT(received);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, received->crashSuspects.size());
+        CPPUNIT_ASSERT(received->leavingTargets == report->leavingTargets);
+    }
+
+    void reportWithoutALinkIsSentOnTheNextOne()
+    {
+        makePair();
+        m_follower->coordinator.linkClosed(kLink);
+        auto report = makeRef<InstanceReport>();
+        report->leavingTargets = { "t@5" };
+        m_follower->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
+        CPPUNIT_ASSERT(m_follower->links.sent.empty());
+        m_follower->coordinator.linkOpened(kLink + 1, true, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_follower->links.sent.size());
+        const auto update = decodeUpdate(m_follower->links.sent[0].second, m_loop->clock.now());
+        CPPUNIT_ASSERT(update.ok());
+        CPPUNIT_ASSERT(update->observations.leavingTargets == report->leavingTargets);
+    }
+
     // Guards against instances that name no address: the reader started last, sent an update before
     // it knew any instance, and its followers replaced their list by an empty one (review, case 3).
     void unknownListIsNotSentAsAnEmptyOne()
--- a/src/gateway/tests/forwardingtest.cpp
+++ b/src/gateway/tests/forwardingtest.cpp
@@ -1,5 +1,6 @@
 #include "base/seededrandom.h"
 #include "gateway/gateway.h"
+#include "gateway/internal/crashmonitor.h"
 #include "gateway/lycheebayprotocol.h"
 #include "http/httpserialization.h"
 #include "http/tests/loopfixture.h"
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(lostAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(statusBehindAnotherDispatcherPromisesNothingAfterARun);
     CPPUNIT_TEST(leavingTargetBehindAnotherDispatcherIsKnownHere);
+    CPPUNIT_TEST(suspectRefusedByAnotherDispatcherIsNotRunHere);
     CPPUNIT_TEST(unreachableDispatcherIsBypassed);
     CPPUNIT_TEST(leavingCallerCancelsAForwardedLookup);
     CPPUNIT_TEST(callersStayInTheirRegionByTheShare);
@@ -420,6 +422,31 @@
         CPPUNIT_ASSERT_EQUAL(2, reports);
     }
 
+    void suspectRefusedByAnotherDispatcherIsNotRunHere()
+    {
+        // Gateway A starts after the report.
+        m_a.reset();
+        m_b.reset();
+        m_blackboard = std::make_unique<GatewayBlackboard>();
+        m_b = makeGateway("b");
+        const HttpRequest suspect{ "GET", "/lookup/1", { { "Host", "h" } }, {} };
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { fingerprintOf(suspect), 2, 30s, {} } };
+        m_blackboard->peerReports.publish(IntrusivePtr<const InstanceReport>(report));
+        m_a = makeGateway("a");
+        Target &here = addTarget("a1", true);
+        addTarget("b1");
+        publishConfiguration();
+        publishTargets();
+        publishInstances();
+        fillA(here, 2);
+        const int runs = here.runs;
+        const HttpResponse response = waitForResponse(sendToA("/lookup/1"));
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        CPPUNIT_ASSERT(std::stod(*findHeader(response.headers, "Retry-After")) > 10);
+        CPPUNIT_ASSERT_EQUAL(runs, here.runs);
+    }
+
     // A dispatcher that died stays in the list of instances for seconds, while its targets serve.
     void unreachableDispatcherIsBypassed()
     {
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -63,6 +63,11 @@
     CPPUNIT_TEST(rejectionAfterAnotherAnswerDoesNotProveThatARequestWasNotRun);
     CPPUNIT_TEST(statusOfATargetThatMayHaveRunTheRequestPromisesNothing);
     CPPUNIT_TEST(requestThatCrashesItsTargetsIsRefused);
+    CPPUNIT_TEST(crashAfterAnInterimResponseIsNoticed);
+    CPPUNIT_TEST(crashAfterAPartOfAResponseIsNoticed);
+    CPPUNIT_TEST(repeatBeforeTheVerdictCrashesNoFurtherTarget);
+    CPPUNIT_TEST(serverErrorDoesNotClearASuspect);
+    CPPUNIT_TEST(queuedSuspectIsNotPlaced);
     CPPUNIT_TEST(lostConnectionToARunningTargetIsNoCrash);
     CPPUNIT_TEST(suspectOfAnotherInstanceIsRefused);
     CPPUNIT_TEST(targetThatSaysItLeavesGetsNoNewRequests);
@@ -231,6 +236,44 @@
         return *m_targets.back()->endless;
     }
 
+    /// Adds a target that answers probes, and ends when it gets a request, after it has sent
+    /// \a bytes.
+    void addTargetThatCrashesAfter(const std::string &bytes)
+    {
+        m_targets.push_back(std::make_unique<Target>());
+        Target &target = *m_targets.back();
+        target.raw = std::make_unique<RawServer>(*m_loop, [this, &target,
+                                                           bytes](std::string_view request, int) {
+            if (request.starts_with("GET /health"))
+                return serialized(loadResponse());
+            ++target.runs;
+            target.timers.push_back(m_loop->timers.after(5ms, [&target] { target.raw->end(); }));
+            return bytes;
+        });
+        publishTargets();
+    }
+
+    /// Checks that a request whose targets crash after they have sent \a bytes is refused once the
+    /// first crashes are known.
+    void checkCrashAfter(const std::string &bytes)
+    {
+        publishConfiguration();
+        for (int i = 0; i < 4; ++i)
+            addTargetThatCrashesAfter(bytes);
+        CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest("/lookup/poison")).status);
+        m_loop->runFor(600ms);
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/poison")).status);
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+    }
+
+    void publishSuspect(const std::string &path, int crashCount)
+    {
+        const HttpRequest request{ "GET", path, { { "Host", "h" } }, {} };
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { fingerprintOf(request), crashCount, 30s, {} } };
+        m_blackboard->peerReports.publish(IntrusivePtr<const InstanceReport>(report));
+    }
+
     static Address addressOf(const Target &target)
     {
         if (target.endless)
@@ -644,6 +687,58 @@
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/other")).status);
     }
 
+    void crashAfterAnInterimResponseIsNoticed()
+    {
+        checkCrashAfter("HTTP/1.1 103 Early Hints\r\n\r\n");
+    }
+
+    void crashAfterAPartOfAResponseIsNoticed()
+    {
+        checkCrashAfter("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nfirst bytes");
+    }
+
+    void repeatBeforeTheVerdictCrashesNoFurtherTarget()
+    {
+        publishConfiguration();
+        for (int i = 0; i < 6; ++i)
+            addTarget(Behaviour::Crash);
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT(waitForResponse(sendRequest("/lookup/poison")).status != 200);
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+    }
+
+    // A faulty target may answer 500 to everything.
+    void serverErrorDoesNotClearASuspect()
+    {
+        publishConfiguration();
+        addTarget(Behaviour::Fail);
+        addTarget(Behaviour::Fail);
+        CPPUNIT_ASSERT_EQUAL(500, waitForResponse(sendRequest("/lookup/a")).status);
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+        publishSuspect("/lookup/a", 2);
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/a")).status);
+        CPPUNIT_ASSERT_EQUAL(2, totalRuns());
+    }
+
+    void queuedSuspectIsNotPlaced()
+    {
+        publishConfiguration();
+        Target &target = addTarget(Behaviour::Hang);
+        const auto first = sendRequest("/order/1", "POST");
+        const auto second = sendRequest("/order/2", "POST");
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return target.runs == 2; }));
+        const auto queued = sendRequest("/lookup/a");
+        m_loop->runFor(30ms);
+        CPPUNIT_ASSERT(!queued->received);
+        publishSuspect("/lookup/a", 2);
+        target.behaviour = Behaviour::Answer;
+        for (const IntrusivePtr<HttpExchange> &it : target.heldExchanges)
+            it->respond(loadResponse());
+        CPPUNIT_ASSERT_EQUAL(503, waitForResponse(queued).status);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(second).status);
+        CPPUNIT_ASSERT_EQUAL(2, target.runs);
+    }
+
     // Guards against refusing requests because full targets reset connections.
     void lostConnectionToARunningTargetIsNoCrash()
     {
@@ -662,10 +757,7 @@
     {
         publishConfiguration();
         addTarget(Behaviour::Answer);
-        const HttpRequest request{ "GET", "/lookup/a", { { "Host", "h" } }, {} };
-        auto list = makeRef<InstanceReport>();
-        list->crashSuspects = { { fingerprintOf(request), 2, 30s, {} } };
-        m_blackboard->peerReports.publish(IntrusivePtr<const InstanceReport>(list));
+        publishSuspect("/lookup/a", 2);
         CPPUNIT_ASSERT_EQUAL(503, waitForResponse(sendRequest("/lookup/a")).status);
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/b")).status);
     }
--- a/src/http/tests/rawserver.h
+++ b/src/http/tests/rawserver.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lycheebay {
 
@@ -35,9 +36,23 @@
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
 
+    /// Closes all connections after what they have sent, and accepts no more. Precondition: not
+    /// called by the reply function.
+    void end()
+    {
+        asio::error_code ec;
+        m_state->acceptor.close(ec);
+        for (const std::weak_ptr<Connection> &it : m_state->open) {
+            if (const ConnectionPtr connection = it.lock())
+                connection->socket.close(ec);
+        }
+    }
+
     Address address() const { return { "127.0.0.1", m_state->acceptor.local_endpoint().port() }; }
 
 private:
+    struct Connection;
+
     struct State
     {
         State(LoopFixture &loop, Reply it)
@@ -49,6 +64,7 @@
         asio::ip::tcp::acceptor acceptor;
         Reply reply;
         int connections = 0;
+        std::vector<std::weak_ptr<Connection>> open;
     };
     using StatePtr = std::shared_ptr<State>;
 
@@ -69,7 +85,10 @@
         state->acceptor.async_accept([state](asio::error_code ec, asio::ip::tcp::socket socket) {
             if (ec || !state->reply)
                 return;
-            read(state, std::make_shared<Connection>(std::move(socket), state->connections++));
+            const auto connection =
+                    std::make_shared<Connection>(std::move(socket), state->connections++);
+            state->open.push_back(connection);
+            read(state, connection);
             accept(state);
         });
     }
