Count a crash after the first bytes of a response

Callers saw: a request whose targets send a 103 or a part of a response before they end was retried at further targets each time it came. Cause: a loss was only checked if no byte had been read since the request was sent. The bytes say nothing of the target; the check that follows does. Change: every lost attempt is checked. A target that only truncates a response is found alive, as before a target that closes connections.

--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -38,7 +38,7 @@
     bool isSuspected(Fingerprint fingerprint);
     /// Reports that a target ran the request and responded.
     void recordResponse(Fingerprint fingerprint);
-    /// Reports that the connection of an attempt that began at \a began was lost before any byte of
+    /// Reports that the connection of an attempt that began at \a began was lost before the end of
     /// the response. Checks shortly afterwards, by \a healthPath, whether the target has crashed.
     void recordLostAttempt(Fingerprint fingerprint, TimePoint began,
                            const IntrusivePtr<TargetConnections> &target,
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -35,7 +35,7 @@
     fields.add("target", target.id).add("fingerprint", fmt::format("{:016x}", m_fingerprint));
     fields.add("has_bytes", hasBytes ? 1 : 0).add("target_leaving", isLeaving ? 1 : 0);
     m_context.log.write(fields);
-    if (!hasBytes && !isLeaving) {
+    if (!isLeaving) {
         m_context.crashes.recordLostAttempt(m_fingerprint, attempt->sentAt,
                                             attempt->targetConnections, m_dispatcher.healthPath());
     }
--- a/src/outcomes/crashsuspects.h
+++ b/src/outcomes/crashsuspects.h
@@ -41,7 +41,7 @@
     auto operator<=>(const SharedSuspect &) const = default;
 };
 
-/// A run whose connection was lost before any byte of the response.
+/// A run whose connection was lost before the end of the response.
 struct LostRun
 {
     TimePoint began;
