Keep a suspicion when a target answers with a server error

Callers saw: nothing directly. A faulty target that answers 500 to everything cleared a request that crashes others, and for 10 s this instance ignored what the others reported of it. Cause: any response cleared the suspicion, also one that another instance passed on, and also one without the seal of the target. Change: only a sealed response below 500 does.

--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -36,7 +36,7 @@
     Duration refusedFor(Fingerprint fingerprint) const;
     /// True if the request is suspected of a crash and must not be retried.
     bool isSuspected(Fingerprint fingerprint);
-    /// Reports that a target ran the request and responded.
+    /// Reports that a target ran the request to its end.
     void recordResponse(Fingerprint fingerprint);
     /// Reports that the connection of an attempt that began at \a began was lost before the end of
     /// the response. Checks shortly afterwards, by \a healthPath, whether the target has crashed.
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -271,7 +271,8 @@
                                     const ResponseMetadata &metadata)
 {
     m_executionState = ExecutionState::MayHaveRun;
-    m_context.crashes.recordResponse(m_fingerprint);
+    if (provesRun(response, metadata))
+        m_context.crashes.recordResponse(m_fingerprint);
     const Duration elapsed = elapsedSince(attempt->sentAt);
     const bool success =
             response.status >= httpstatus::kOk && response.status < httpstatus::kFirstError;
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -65,6 +65,9 @@
     /// Refuses the request if it may not run now; returns true if it may.
     bool admit();
     void recordLoss(const AttemptPtr &attempt);
+    /// True if the response shows that a target has run the request to its end. A faulty target may
+    /// answer with a server error without running it.
+    static bool provesRun(const HttpResponse &response, const ResponseMetadata &metadata);
     void enqueue();
     void setDeadlineTimer();
     void leaveQueue();
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -31,20 +31,22 @@
     if (m_ended)
         return;
     switch (outcome) {
-    case ForwardOutcome::Response:
+    case ForwardOutcome::Response: {
         m_executionState = ExecutionState::MayHaveRun;
-        m_context.crashes.recordResponse(m_fingerprint);
+        const ResponseMetadata metadata = m_context.protocol.readResponseMetadata(response);
+        if (provesRun(response, metadata))
+            m_context.crashes.recordResponse(m_fingerprint);
         if (const std::string *key = findHeader(response.headers, kLeavingTargetHeader)) {
             m_context.leavingTargets.record(*key);
             removeHeader(response.headers, kLeavingTargetHeader);
         }
-        if (response.status < httpstatus::kFirstError
-            && !m_context.protocol.readResponseMetadata(response).sealed) {
+        if (response.status < httpstatus::kFirstError && !metadata.sealed) {
             fail(httpstatus::kBadGateway, "unsealed_answer");
             return;
         }
         deliver(std::move(response));
         return;
+    }
     case ForwardOutcome::NotRun:
         if (mustForward(m_forwardReason))
             refuse("no_dispatcher", retryAfter);
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -1,4 +1,5 @@
 #include "gateway/internal/proxiedrequest.h"
+#include "http/httpstatus.h"
 
 #include <fmt/format.h>
 
@@ -41,6 +42,11 @@
     }
 }
 
+bool ProxiedRequest::provesRun(const HttpResponse &response, const ResponseMetadata &metadata)
+{
+    return metadata.sealed && response.status < httpstatus::kFirstServerError;
+}
+
 bool ProxiedRequest::mayTryAgain() const
 {
     // A request that has crashed a target might crash the next one.
