Do not run a request that another dispatcher refuses as a suspect

Callers saw: a request that crashes targets ran again behind an instance that did not know it and had offered it to one that did. Cause: the refusal said "not run", which means that there was no room; the first instance then offered the request elsewhere or ran it itself. Change: the refusal of a suspect is final, like that of a target.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -240,7 +240,7 @@
             refuse("target_unreachable", kRefusalRetryAfter);
         return;
     }
-    m_reachedTarget = true;
+    m_mustEnd = true;
     if (result != TransferResult::Answered) {
         recordLoss(attempt);
         finishAttempt(attempt, AttemptResult::Failed, std::nullopt);
@@ -417,7 +417,7 @@
     response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", toSeconds(retryAfter)) });
     if (m_isForwarded)
         response.headers.push_back(
-                { kForwardOutcomeHeader, m_reachedTarget ? kRejectedOutcome : kNotRunOutcome });
+                { kForwardOutcomeHeader, m_mustEnd ? kRejectedOutcome : kNotRunOutcome });
     LogFields fields = logFields("refused");
     fields.add("reason", reason).addMs("retry_after_ms", retryAfter);
     m_context.log.write(fields);
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -64,6 +64,7 @@
     void countPlacement();
     /// Refuses the request if it may not run now; returns true if it may.
     bool admit();
+    void refuseSuspect();
     void recordLoss(const AttemptPtr &attempt);
     /// True if the response shows that a target has run the request to its end. A faulty target may
     /// answer with a server error without running it.
@@ -131,8 +132,9 @@
     std::vector<AttemptPtr> m_active;
     ExecutionState m_executionState = ExecutionState::NotRun;
     int m_attempts = 0;
-    /// Bytes of the request may have reached a target.
-    bool m_reachedTarget = false;
+    /// No other dispatcher may run the request: bytes of it may have reached a target, or it is
+    /// suspected of crashing targets.
+    bool m_mustEnd = false;
     bool m_queued = false;
     /// The queued attempt has a reservation of the retry limiter.
     bool m_retryReserved = false;
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -21,10 +21,17 @@
     m_runsExclusively = admission == Admission::Exclusive;
     if (m_runsExclusively || admission == Admission::Unrestricted)
         return true;
+    refuseSuspect();
+    return false;
+}
+
+void ProxiedRequest::refuseSuspect()
+{
+    // The instance that forwarded the request may not know the suspect.
+    m_mustEnd = true;
     // Another run of it may be in progress; the request is not refused for a time then.
     const Duration left = m_context.crashes.refusedFor(m_fingerprint);
     refuse("crash_suspect", std::max(left, kRefusalRetryAfter));
-    return false;
 }
 
 void ProxiedRequest::recordLoss(const AttemptPtr &attempt)
