Refuse a request that became a suspect while it was queued

Callers saw: a request that crashes targets went on to one after it was known, because it had been admitted before. Cause: the suspicion was only looked up when the request arrived. Change: it is looked up again when a target was found; the target's slot is given back.

--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -34,6 +34,11 @@
     void release(Fingerprint fingerprint) { m_suspects.release(fingerprint); }
     /// Time for which the request is refused; zero if it is not.
     Duration refusedFor(Fingerprint fingerprint) const;
+    /// True if the request must not be sent to a target now.
+    bool isRefused(Fingerprint fingerprint) const
+    {
+        return refusedFor(fingerprint) > Duration::zero();
+    }
     /// True if the request is suspected of a crash and must not be retried.
     bool isSuspected(Fingerprint fingerprint);
     /// Reports that a target ran the request to its end.
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -158,6 +158,15 @@
 {
     const auto self = IntrusivePtr<ProxiedRequest>::adopt(this);
     m_queued = false;
+    if (m_context.crashes.isRefused(m_fingerprint)) {
+        // It became a suspect while it was queued.
+        cancelRetryReservation();
+        m_dispatcher.finish(targetKey(placement.target), AttemptResult::Abandoned, std::nullopt,
+                            {});
+        if (!isPending())
+            refuseSuspect();
+        return;
+    }
     if (std::exchange(m_retryReserved, false))
         m_dispatcher.retryLimiter().commit(m_context.clock.now());
     ++m_attempts;
