Answer a lost request when it is known whether it crashed its targets

Callers saw: a caller that repeats a request at once ended two more targets each time, before the first loss was judged. Cause: the verdict takes 150 ms or more, and 750 ms for a target whose address still accepts connections; the failure was answered at once. Change: a safe request that has lost its last attempt is answered with the verdict, at most 800 ms later. While two losses of one request are undecided it is refused, here and, for 2 s, on the other instances, so that an instance that ends before the verdict does not take the knowledge with it. A request that was answered within the last 10 s is not held, since its losses are not counted. A suspect of another instance is kept beyond its refusal, like one of our own.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
+
 namespace lycheebay {
 
 namespace {
@@ -19,6 +22,10 @@
 constexpr int kMaxChecks = 4;
 constexpr std::size_t kMaxConcurrentChecks = 64;
 constexpr ClientConnectionTimeouts kCheckTimeouts{ milliseconds(250), milliseconds(250), {} };
+// Two lost attempts in a row are rarely a coincidence: the request is not sent before the verdict.
+constexpr int kMaxUndecidedLosses = 2;
+// Covers the longest check.
+constexpr Duration kUndecidedRefusal = seconds(2);
 // A refusal that is wrong, because targets failed by chance, must not last long.
 constexpr SuspectLimits kLimits{ 10'000, seconds(60), seconds(10), seconds(60) };
 
@@ -89,8 +96,31 @@
     }
 }
 
+int CrashMonitor::undecidedLosses(Fingerprint fingerprint) const
+{
+    // Such losses are not counted.
+    if (m_suspects.hasRespondedLately(fingerprint, m_clock.now()))
+        return 0;
+    return static_cast<int>(std::count_if(m_checks.begin(), m_checks.end(), [&](const auto &it) {
+        return it->fingerprint == fingerprint;
+    }));
+}
+
+bool CrashMonitor::isRefused(Fingerprint fingerprint) const
+{
+    return refusedFor(fingerprint) > Duration::zero()
+           || undecidedLosses(fingerprint) >= kMaxUndecidedLosses;
+}
+
+void CrashMonitor::whenDecided(Fingerprint fingerprint, std::function<void()> done)
+{
+    m_waiting.emplace_back(fingerprint, std::move(done));
+}
+
 Admission CrashMonitor::admit(Fingerprint fingerprint)
 {
+    if (isRefused(fingerprint))
+        return Admission::Refused;
     return m_suspects.admit(fingerprint, m_clock.now());
 }
 
@@ -130,6 +160,9 @@
     attempt->healthPath = healthPath;
     m_checks.push_back(attempt);
     scheduleCheck(attempt);
+    // The others wait for the verdict too. If this instance ends before it, they go on with care.
+    if (undecidedLosses(fingerprint) == kMaxUndecidedLosses)
+        publish({ fingerprint, kMaxUndecidedLosses, kUndecidedRefusal, {} });
 }
 
 void CrashMonitor::scheduleCheck(const IntrusivePtr<LostAttempt> &attempt)
@@ -143,11 +176,9 @@
 {
     const bool hasAnswered = attempt->target->lastAnswerAt() > attempt->lostAt + kAnswerMargin;
     if (hasAnswered || attempt->checks == kMaxChecks) {
-        const bool hasCrashed = !hasAnswered && attempt->lostChecks == kMaxChecks;
-        const char *unanswered = hasCrashed ? "crashed" : "silent";
-        endCheck(attempt, hasAnswered ? "alive" : unanswered);
-        if (hasCrashed)
-            recordCrash(*attempt);
+        const bool hasEndedAll = attempt->lostChecks == kMaxChecks;
+        const Verdict unanswered = hasEndedAll ? Verdict::Crashed : Verdict::Silent;
+        endCheck(attempt, hasAnswered ? Verdict::Alive : unanswered);
         return;
     }
     ++attempt->checks;
@@ -167,15 +198,32 @@
                               });
 }
 
-void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt, const char *verdict)
+void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt, Verdict verdict)
 {
+    constexpr std::array kNames{ "alive", "crashed", "silent" };
+    const char *name = kNames.at(static_cast<std::size_t>(verdict));
     attempt->timer.reset();
     std::erase(m_checks, attempt);
-    m_metrics.countCrashCheck(verdict);
+    m_metrics.countCrashCheck(name);
     LogFields fields("crash_check_ended");
-    fields.add("target", attempt->target->record().id).add("verdict", verdict);
+    fields.add("target", attempt->target->record().id).add("verdict", name);
     fields.addMs("after_ms", m_clock.now() - attempt->lostAt);
     write(fields, attempt->fingerprint);
+    if (verdict == Verdict::Crashed)
+        recordCrash(*attempt);
+    if (!isUndecided(attempt->fingerprint))
+        releaseWaiting(attempt->fingerprint);
+}
+
+void CrashMonitor::releaseWaiting(Fingerprint fingerprint)
+{
+    const auto first = std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                                             [&](const auto &it) { return it.first != fingerprint; });
+    const std::vector decided(std::make_move_iterator(first),
+                              std::make_move_iterator(m_waiting.end()));
+    m_waiting.erase(first, m_waiting.end());
+    for (const auto &[decidedFor, done] : decided)
+        done();
 }
 
 void CrashMonitor::checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
@@ -192,9 +240,7 @@
         scheduleCheck(attempt);
         return;
     }
-    endCheck(attempt, hasCrashed ? "crashed" : "alive");
-    if (hasCrashed)
-        recordCrash(*attempt);
+    endCheck(attempt, hasCrashed ? Verdict::Crashed : Verdict::Alive);
 }
 
 void CrashMonitor::recordCrash(const LostAttempt &attempt)
@@ -206,6 +252,11 @@
     LogFields fields("crash_suspected");
     fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
     write(fields, attempt.fingerprint);
+    publish(suspect);
+}
+
+void CrashMonitor::publish(const SharedSuspect &suspect)
+{
     auto report = makeRef<InstanceReport>();
     report->crashSuspects = { suspect };
     m_blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -34,11 +34,13 @@
     void release(Fingerprint fingerprint) { m_suspects.release(fingerprint); }
     /// Time for which the request is refused; zero if it is not.
     Duration refusedFor(Fingerprint fingerprint) const;
-    /// True if the request must not be sent to a target now.
-    bool isRefused(Fingerprint fingerprint) const
-    {
-        return refusedFor(fingerprint) > Duration::zero();
-    }
+    /// True if the request must not be sent to a target now: it is refused, or the verdict on two
+    /// lost attempts is outstanding.
+    bool isRefused(Fingerprint fingerprint) const;
+    /// True while a target that lost an attempt of the request is being checked.
+    bool isUndecided(Fingerprint fingerprint) const { return undecidedLosses(fingerprint) > 0; }
+    /// Calls \a done when isUndecided() has become false. Precondition: it is true.
+    void whenDecided(Fingerprint fingerprint, std::function<void()> done);
     /// True if the request is suspected of a crash and must not be retried.
     bool isSuspected(Fingerprint fingerprint);
     /// Reports that a target ran the request to its end.
@@ -51,13 +53,18 @@
 
 private:
     struct LostAttempt;
+    enum class Verdict { Alive, Crashed, Silent };
+
+    int undecidedLosses(Fingerprint fingerprint) const;
+    /// Reports to the other instances.
+    void publish(const SharedSuspect &suspect);
 
     void scheduleCheck(const IntrusivePtr<LostAttempt> &attempt);
     void check(const IntrusivePtr<LostAttempt> &attempt);
-    /// Ends the check of the attempt with a verdict for the log.
-    void endCheck(const IntrusivePtr<LostAttempt> &attempt, const char *verdict);
+    void endCheck(const IntrusivePtr<LostAttempt> &attempt, Verdict verdict);
     void checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
                     const HttpResponse &response);
+    void releaseWaiting(Fingerprint fingerprint);
     void recordCrash(const LostAttempt &attempt);
     void adoptReport(const InstanceReport &report);
     void write(LogFields &fields, Fingerprint fingerprint);
@@ -71,6 +78,8 @@
     DecisionLog &m_log;
     CrashSuspects m_suspects;
     std::vector<IntrusivePtr<LostAttempt>> m_checks;
+    /// Callbacks of whenDecided().
+    std::vector<std::pair<Fingerprint, std::function<void()>>> m_waiting;
 };
 
 } // namespace lycheebay
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -324,7 +324,7 @@
 void ProxiedRequest::handleFailure(const char *what)
 {
     m_executionState = ExecutionState::MayHaveRun;
-    if (isIdempotent() && (isPending() || tryAgain(what)))
+    if (isIdempotent() && (isPending() || tryAgain(what) || waitForVerdict(what)))
         return;
     fail(httpstatus::kBadGateway, what);
 }
@@ -470,6 +470,7 @@
         m_context.crashes.release(m_fingerprint);
     // The timer and the exchange hold references to this request.
     m_deadlineTimer.reset();
+    m_verdictTimer.reset();
     m_exchange->onCallerGone(nullptr);
 }
 
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -81,6 +81,9 @@
     void handleNotRun(const AttemptPtr &attempt, HttpResponse response,
                       const ResponseMetadata &metadata);
     void handleFailure(const char *what);
+    /// Fails the request when it is known whether it has crashed its targets, because the caller may
+    /// repeat it at once; returns false if that is known.
+    bool waitForVerdict(const char *failure);
     void hedgeDelayEnded(const AttemptPtr &attempt);
     void deadlineExpired();
     void callerDisconnected();
@@ -129,6 +132,7 @@
     ForwardReason m_forwardReason = ForwardReason::NoRoom;
     QueuedRequest m_queuedRequest;
     TimerSubscription m_deadlineTimer;
+    TimerSubscription m_verdictTimer;
     std::vector<AttemptPtr> m_active;
     ExecutionState m_executionState = ExecutionState::NotRun;
     int m_attempts = 0;
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -49,6 +49,22 @@
     }
 }
 
+bool ProxiedRequest::waitForVerdict(const char *failure)
+{
+    // Most verdicts take less; a caller that waits longer has less time for a repeat that helps.
+    constexpr Duration kMaxVerdictWait = std::chrono::milliseconds(800);
+    if (m_ended || !m_context.crashes.isUndecided(m_fingerprint))
+        return false;
+    const IntrusivePtr<ProxiedRequest> self(this);
+    const auto end = [self, failure] {
+        if (!self->m_ended)
+            self->fail(httpstatus::kBadGateway, failure);
+    };
+    m_verdictTimer = m_context.timers.after(kMaxVerdictWait, end);
+    m_context.crashes.whenDecided(m_fingerprint, end);
+    return true;
+}
+
 bool ProxiedRequest::provesRun(const HttpResponse &response, const ResponseMetadata &metadata)
 {
     return metadata.sealed && response.status < httpstatus::kFirstServerError;
@@ -57,7 +73,8 @@
 bool ProxiedRequest::mayTryAgain() const
 {
     // A request that has crashed a target might crash the next one.
-    return !m_ended && !m_context.crashes.isSuspected(m_fingerprint) && !m_callerDisconnected
+    return !m_ended && !m_context.crashes.isSuspected(m_fingerprint)
+           && !m_context.crashes.isRefused(m_fingerprint) && !m_callerDisconnected
            && m_attempts < m_route.maxAttempts && m_context.clock.now() < m_queuedRequest.deadline;
 }
 
--- a/src/outcomes/crashsuspects.cpp
+++ b/src/outcomes/crashsuspects.cpp
@@ -42,7 +42,7 @@
                                          const std::vector<std::string> &homeRegions,
                                          const LostRun &run, TimePoint now)
 {
-    if (respondedRecently(fingerprint, now))
+    if (hasRespondedLately(fingerprint, now))
         return {};
     Suspect *suspect = find(fingerprint, now);
     if (suspect && run.began < suspect->lastCrash)
@@ -64,7 +64,7 @@
     return { fingerprint, suspect->crashCount, remaining, homeRegions };
 }
 
-bool CrashSuspects::respondedRecently(Fingerprint fingerprint, TimePoint now) const
+bool CrashSuspects::hasRespondedLately(Fingerprint fingerprint, TimePoint now) const
 {
     const RecentResponse &response = m_recentResponses[fingerprint % kRecentResponseSlots];
     return response.fingerprint == fingerprint && response.at != TimePoint{}
@@ -82,7 +82,7 @@
 void CrashSuspects::mergeFromPeer(const SharedSuspect &shared, TimePoint now)
 {
     if (shared.crashCount <= 0 || shared.remaining <= Duration::zero()
-        || respondedRecently(shared.fingerprint, now))
+        || hasRespondedLately(shared.fingerprint, now))
         return;
     Suspect *suspect = find(shared.fingerprint, now);
     if (!suspect)
@@ -94,8 +94,10 @@
         const TimePoint until = now + std::min(shared.remaining, m_limits.refusalPeriod);
         suspect->refusedUntil = std::max(suspect->refusedUntil, until);
     }
-    const Duration remaining = std::min(shared.remaining, m_limits.suspectRetention);
-    setExpiry(shared.fingerprint, *suspect, std::max(suspect->refusedUntil, now + remaining));
+    const bool isRefused = shared.crashCount >= kCrashesUntilRefusal;
+    const Duration remaining = isRefused ? m_limits.suspectRetention
+                                         : std::min(shared.remaining, m_limits.suspectRetention);
+    setExpiry(shared.fingerprint, *suspect, std::max(suspect->refusedUntil, now) + remaining);
 }
 
 Duration CrashSuspects::refusedFor(Fingerprint fingerprint, TimePoint now) const
--- a/src/outcomes/crashsuspects.h
+++ b/src/outcomes/crashsuspects.h
@@ -82,7 +82,11 @@
     /// of a failing failure domain.
     void recordResponse(Fingerprint fingerprint, TimePoint now);
 
-    /// Merges a suspect that a peer shared.
+    /// True if a target responded to the request within SuspectLimits::responseRetention.
+    bool hasRespondedLately(Fingerprint fingerprint, TimePoint now) const;
+
+    /// Merges a suspect that a peer shared. It is kept beyond its refusal like one that was
+    /// recorded here.
     void mergeFromPeer(const SharedSuspect &suspect, TimePoint now);
 
     /// Returns the remaining refusal time, or zero when the request is not refused.
@@ -112,7 +116,6 @@
         TimePoint at;
     };
 
-    bool respondedRecently(Fingerprint fingerprint, TimePoint now) const;
     /// Removes expired suspects first. Returns null for a request that is not suspected.
     Suspect *find(Fingerprint fingerprint, TimePoint now);
     /// Evicts the suspect that expires first when the limit is reached.
