Exchange reports whichever end opened a link

Callers saw: a request that crashes targets was retried up to four times too late while instances restart. Cause: a reader sent what it knew to a new follower, a follower sent nothing to a new reader, and a report that was made without a link was lost. A reader that is killed and returns keeps its rank and knows nothing, and so does each follower that starts behind it. Change: both ends send what holds when a link opens, before any update.

--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -133,6 +133,8 @@
     std::string encodeObservations(const Observations &observations);
     /// Sends a report to the followers except \a source, and to the reader.
     void sendReport(const Observations &report, std::optional<LinkId> source);
+    /// Sends all reports that hold on a link that was opened, whichever end has opened it.
+    void sendKnownReports(LinkId link);
     /// Publishes the report in a frame; returns false if it contains none.
     bool reportReceived(LinkId link, const EstateUpdate &update);
     void sendOverflowToReader(const OverflowCounts &counts);
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -114,13 +114,14 @@
 {
     if (update.observations.empty())
         return false;
-    const IntrusivePtr<const InstanceReport> report = makeRef<InstanceReport>(update.observations);
-    m_reports.add(*report, m_clock.now());
-    // Only the reader passes reports on, so that they cannot circulate between two instances which
-    // follow each other for a moment.
-    if (m_role == Role::Reader)
-        sendReport(*report, link);
-    m_blackboard.peerReports.publish(report);
+    // What is known is not passed on, so that reports cannot circulate, and an instance does not
+    // take its own report for one of another instance.
+    const IntrusivePtr<const InstanceReport> added =
+            makeRef<InstanceReport>(m_reports.add(update.observations, m_clock.now()));
+    if (added->empty())
+        return true;
+    sendReport(*added, link);
+    m_blackboard.peerReports.publish(added);
     return true;
 }
 
@@ -146,6 +147,7 @@
         m_readerLink = link;
         LOG4CPLUS_INFO(m_logger,
                        "event=dependency_regained dependency=reader address=" << remote.toString());
+        sendKnownReports(link);
         return;
     }
     const bool alreadyReading = readsForOthers();
@@ -154,7 +156,13 @@
         updateOperatorPollTimeout();
         m_source.readTargets();
     }
+    // They come first: an instance that has just started serves as soon as it has an update.
+    sendKnownReports(link);
     sendUpdateTo(link);
+}
+
+void EstateCoordinator::sendKnownReports(LinkId link)
+{
     const Observations reported = m_reports.current(m_clock.now());
     if (reported.empty())
         return;
