Link readers to the next in rank and to the readers of other regions

Callers saw: for some seconds after the restart of a reader a request that crashes targets ran again there; and each region ended targets of its own. Cause: followers avoid a reader for 5 s after its link was closed, so that it gets no link over which to learn, although it serves. Regions had no link at all. Change: a reader keeps links for reports only, to the next in rank of its region and to the reader of each other region. A report stays in the home regions of its request.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -40,8 +40,7 @@
 /// An attempt whose target is being checked.
 struct CrashMonitor::LostAttempt final : RefCounted
 {
-    Fingerprint fingerprint = 0;
-    TimePoint began;
+    SentRequest request;
     TimePoint lostAt;
     IntrusivePtr<TargetConnections> target;
     std::string healthPath;
@@ -102,7 +101,7 @@
     if (m_suspects.hasRespondedLately(fingerprint, m_clock.now()))
         return 0;
     return static_cast<int>(std::count_if(m_checks.begin(), m_checks.end(), [&](const auto &it) {
-        return it->fingerprint == fingerprint;
+        return it->request.fingerprint == fingerprint;
     }));
 }
 
@@ -143,7 +142,7 @@
     m_suspects.recordResponse(fingerprint, m_clock.now());
 }
 
-void CrashMonitor::recordLostAttempt(Fingerprint fingerprint, TimePoint began,
+void CrashMonitor::recordLostAttempt(const SentRequest &request,
                                      const IntrusivePtr<TargetConnections> &target,
                                      const std::string &healthPath)
 {
@@ -153,16 +152,16 @@
         return;
     }
     auto attempt = makeRef<LostAttempt>();
-    attempt->fingerprint = fingerprint;
-    attempt->began = began;
+    attempt->request = request;
     attempt->lostAt = m_clock.now();
     attempt->target = target;
     attempt->healthPath = healthPath;
     m_checks.push_back(attempt);
     scheduleCheck(attempt);
     // The others wait for the verdict too. If this instance ends before it, they go on with care.
-    if (undecidedLosses(fingerprint) == kMaxUndecidedLosses)
-        publish({ fingerprint, kMaxUndecidedLosses, kUndecidedRefusal, {} });
+    if (undecidedLosses(request.fingerprint) == kMaxUndecidedLosses)
+        publish({ request.fingerprint, kMaxUndecidedLosses, kUndecidedRefusal,
+                  request.homeRegions });
 }
 
 void CrashMonitor::scheduleCheck(const IntrusivePtr<LostAttempt> &attempt)
@@ -208,17 +207,18 @@
     LogFields fields("crash_check_ended");
     fields.add("target", attempt->target->record().id).add("verdict", name);
     fields.addMs("after_ms", m_clock.now() - attempt->lostAt);
-    write(fields, attempt->fingerprint);
+    write(fields, attempt->request.fingerprint);
     if (verdict == Verdict::Crashed)
         recordCrash(*attempt);
-    if (!isUndecided(attempt->fingerprint))
-        releaseWaiting(attempt->fingerprint);
+    if (!isUndecided(attempt->request.fingerprint))
+        releaseWaiting(attempt->request.fingerprint);
 }
 
 void CrashMonitor::releaseWaiting(Fingerprint fingerprint)
 {
-    const auto first = std::stable_partition(m_waiting.begin(), m_waiting.end(),
-                                             [&](const auto &it) { return it.first != fingerprint; });
+    const auto first =
+            std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                                  [&](const auto &it) { return it.first != fingerprint; });
     const std::vector decided(std::make_move_iterator(first),
                               std::make_move_iterator(m_waiting.end()));
     m_waiting.erase(first, m_waiting.end());
@@ -245,13 +245,14 @@
 
 void CrashMonitor::recordCrash(const LostAttempt &attempt)
 {
-    const SharedSuspect suspect = m_suspects.recordCrash(
-            attempt.fingerprint, {}, { attempt.began, attempt.lostAt }, m_clock.now());
+    const SharedSuspect suspect =
+            m_suspects.recordCrash(attempt.request.fingerprint, attempt.request.homeRegions,
+                                   { attempt.request.sentAt, attempt.lostAt }, m_clock.now());
     if (suspect.crashCount == 0)
         return;
     LogFields fields("crash_suspected");
     fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
-    write(fields, attempt.fingerprint);
+    write(fields, attempt.request.fingerprint);
     publish(suspect);
 }
 
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -13,6 +13,17 @@
 /// alike. Thread-safe.
 Fingerprint fingerprintOf(const HttpRequest &request);
 
+/// A request that was sent to a target.
+struct SentRequest
+{
+    Fingerprint fingerprint = 0;
+    TimePoint sentAt;
+    /// Regions that may learn of the request; empty means all.
+    std::vector<std::string> homeRegions;
+
+    auto operator<=>(const SentRequest &) const = default;
+};
+
 /// Recognizes requests that crash the targets which run them, and shares them with the other
 /// instances of the region. A lost connection alone is no crash, since some targets reset
 /// connections when they are full: the target must then refuse connections or end each one without
@@ -45,9 +56,9 @@
     bool isSuspected(Fingerprint fingerprint);
     /// Reports that a target ran the request to its end.
     void recordResponse(Fingerprint fingerprint);
-    /// Reports that the connection of an attempt that began at \a began was lost before the end of
-    /// the response. Checks shortly afterwards, by \a healthPath, whether the target has crashed.
-    void recordLostAttempt(Fingerprint fingerprint, TimePoint began,
+    /// Reports that the connection of an attempt was lost before the end of the response. Checks
+    /// shortly afterwards, by \a healthPath, whether the target has crashed.
+    void recordLostAttempt(const SentRequest &request,
                            const IntrusivePtr<TargetConnections> &target,
                            const std::string &healthPath);
 
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -81,8 +81,8 @@
     void handleNotRun(const AttemptPtr &attempt, HttpResponse response,
                       const ResponseMetadata &metadata);
     void handleFailure(const char *what);
-    /// Fails the request when it is known whether it has crashed its targets, because the caller may
-    /// repeat it at once; returns false if that is known.
+    /// Fails the request when it is known whether it has crashed its targets, because the caller
+    /// may repeat it at once; returns false if that is known.
     bool waitForVerdict(const char *failure);
     void hedgeDelayEnded(const AttemptPtr &attempt);
     void deadlineExpired();
--- a/src/gateway/internal/proxiedrequestretries.cpp
+++ b/src/gateway/internal/proxiedrequestretries.cpp
@@ -44,7 +44,7 @@
     fields.add("has_bytes", hasBytes ? 1 : 0).add("target_leaving", isLeaving ? 1 : 0);
     m_context.log.write(fields);
     if (!isLeaving) {
-        m_context.crashes.recordLostAttempt(m_fingerprint, attempt->sentAt,
+        m_context.crashes.recordLostAttempt({ m_fingerprint, attempt->sentAt, m_route.homeRegions },
                                             attempt->targetConnections, m_dispatcher.healthPath());
     }
 }
--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -4,6 +4,7 @@
 #include "base/seconds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheebay {
 
@@ -97,19 +98,19 @@
     instancesRead(IntrusivePtr<const InstanceList>(others));
 }
 
-std::optional<GatewayInstance> EstateCoordinator::preferredReader() const
+std::vector<GatewayInstance> EstateCoordinator::preferredReaders(const std::string &wanted,
+                                                                 std::size_t n) const
 {
     const auto instances = m_blackboard.instances.read();
     if (!instances)
-        return std::nullopt;
+        return {};
     InstanceList candidates;
     // Only the largest instances are candidates: the reader sends every change to the whole region,
     // and a small instance needs seconds to send a large configuration to all others.
     double largest = 0;
     for (const GatewayInstance &it : instances->instances) {
         const auto region = m_settings.regions.find(it.failureDomain);
-        const bool inRegion =
-                region != m_settings.regions.end() && region->second == m_settings.region;
+        const bool inRegion = region != m_settings.regions.end() && region->second == wanted;
         if (!inRegion || m_suspects.contains(it.id))
             continue;
         candidates.instances.push_back(it);
@@ -118,30 +119,76 @@
         largest = std::max(largest, it.weight);
     }
     std::erase_if(candidates.instances, [&](const auto &it) { return it.weight < largest; });
-    const auto ranked = rankedInstances(candidates, kReaderGroup, "", 1);
-    return ranked.empty() ? std::nullopt : std::optional(ranked.front());
+    return rankedInstances(candidates, kReaderGroup, "", n);
+}
+
+std::map<Address, std::string> EstateCoordinator::exchangePartners() const
+{
+    std::map<Address, std::string> partners;
+    const auto add = [&](const std::string &region, std::size_t n) {
+        for (const GatewayInstance &it : preferredReaders(region, n)) {
+            if (it.id != m_settings.instanceId)
+                partners[{ it.address.host, m_settings.relayPort }] = region;
+        }
+    };
+    add(m_settings.region, 2);
+    for (const auto &[domain, region] : m_settings.regions) {
+        if (region != m_settings.region)
+            add(region, 1);
+    }
+    return partners;
+}
+
+void EstateCoordinator::updateLinks()
+{
+    std::vector<Address> desired;
+    if (m_role == Role::Reader) {
+        for (const auto &[address, region] : exchangePartners())
+            desired.push_back(address);
+    } else {
+        for (const GatewayInstance &it : preferredReaders(m_settings.region, 1))
+            desired.push_back({ it.address.host, m_settings.relayPort });
+    }
+    m_links.setDesiredAddresses(std::move(desired));
+}
+
+std::string EstateCoordinator::regionOf(const std::string &host) const
+{
+    const auto instances = m_blackboard.instances.read();
+    if (!instances)
+        return {};
+    const auto it = std::find_if(instances->instances.begin(), instances->instances.end(),
+                                 [&](const auto &entry) { return entry.address.host == host; });
+    if (it == instances->instances.end())
+        return {};
+    const auto region = m_settings.regions.find(it->failureDomain);
+    return region == m_settings.regions.end() ? std::string() : region->second;
 }
 
 void EstateCoordinator::chooseReader()
 {
     std::erase_if(m_suspects, [&](const auto &it) { return it.second <= m_clock.now(); });
-    const auto best = preferredReader();
-    const std::string reader = best ? best->id : m_settings.instanceId;
-    if (reader == m_readerId)
+    const auto best = preferredReaders(m_settings.region, 1);
+    const std::string reader = best.empty() ? m_settings.instanceId : best.front().id;
+    if (reader == m_readerId) {
+        if (m_role == Role::Reader)
+            updateLinks();
         return;
+    }
     m_readerId = reader;
     m_readerSince = m_clock.now();
     m_role = reader == m_settings.instanceId ? Role::Reader : Role::Follower;
     m_spillover.setReader(m_role == Role::Reader);
     LOG4CPLUS_INFO(m_logger,
                    "event=reader_chosen reader=" << reader << " self=" << (m_role == Role::Reader));
-    // State from the previous link is discarded, and the closing of that link is ignored.
-    m_readerLink.reset();
+    // State from the previous links is discarded, and their closing is ignored. A link to an
+    // instance that stays desired is opened again for its new purpose.
     m_received = SyncedState();
-    if (m_role == Role::Reader)
-        m_links.setDesiredAddresses({});
-    else
-        m_links.setDesiredAddresses({ { best->address.host, m_settings.relayPort } });
+    updateLinks();
+    if (m_readerLink)
+        m_links.close(*std::exchange(m_readerLink, std::nullopt), "another reader was chosen");
+    for (const auto &[link, region] : std::exchange(m_exchangeLinks, {}))
+        m_links.close(link, "another reader was chosen");
     updateOperatorPollTimeout();
     scheduleRead();
 }
--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -27,6 +27,10 @@
 /// others follow it. A failed reader is thus replaced before it disappears from the list of
 /// instances.
 ///
+/// Reports of what instances have observed go over the same links, in both directions. A reader
+/// also links to the next one in rank and to the readers of the other regions, only for reports: an
+/// instance that returns as the reader thus learns what its region knows before it is followed.
+///
 /// This class decides whether this instance reads; IEstateSource implements the reads.
 /// Not thread-safe: use it, and call its link callbacks, on the event loop.
 class EstateCoordinator final : public IEstateSourceListener,
@@ -55,6 +59,8 @@
 
     /// Starts the links and the reads. Errors: Unavailable if the links cannot be started.
     absl::Status start();
+    /// True if this instance reads the platform for its region.
+    bool isReader() const { return m_role == Role::Reader; }
     /// Removes this instance from its list of instances and sends the list to its followers, so
     /// that they choose another reader at once.
     void leave();
@@ -87,9 +93,17 @@
     };
 
     void chooseReader();
-    /// Returns the instance that should read for this region, or null if none is known.
-    std::optional<GatewayInstance> preferredReader() const;
-    void follow(const GatewayInstance &reader);
+    /// Returns the instances of a region that should read for it, at most \a n, in order of rank.
+    std::vector<GatewayInstance> preferredReaders(const std::string &region, std::size_t n) const;
+    /// Sets the instances that this one links to.
+    void updateLinks();
+    /// Instances that a reader exchanges reports with, by the address of their link.
+    std::map<Address, std::string> exchangePartners() const;
+    /// Region of the instance at a host; empty if it is not known.
+    std::string regionOf(const std::string &host) const;
+    void exchangeLinkOpened(LinkId link, const std::string &region);
+    /// Handles a frame on a link that only exchanges reports, or the first one that says so.
+    void exchangeFrameReceived(LinkId link, const EstateUpdate &update);
     /// Excludes the current reader for some time and follows the next one in rank.
     void suspectReader(const char *reason);
     /// Suspects the reader if its updates are late although the platform can be read.
@@ -133,6 +147,8 @@
     std::string encodeObservations(const Observations &observations);
     /// Sends a report to the followers except \a source, and to the reader.
     void sendReport(const Observations &report, std::optional<LinkId> source);
+    /// The part of the observations that the region may learn.
+    static Observations visibleIn(const std::string &region, Observations observations);
     /// Sends all reports that hold on a link that was opened, whichever end has opened it.
     void sendKnownReports(LinkId link);
     /// Publishes the report in a frame; returns false if it contains none.
@@ -153,6 +169,8 @@
     /// Instances that are not followed until the given time.
     std::map<std::string, TimePoint> m_suspects;
     std::map<LinkId, SyncedState> m_followers;
+    /// Links that only exchange reports, with the region of the other end.
+    std::map<LinkId, std::string> m_exchangeLinks;
     RecordCompressor m_compressor;
     /// Reports of this instance and of others.
     ReportHistory m_reports;
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -106,8 +106,44 @@
         if (link != source)
             m_links.send(link, frame);
     }
-    if (m_readerLink)
+    if (m_readerLink && m_readerLink != source)
         m_links.send(*m_readerLink, frame);
+    for (const auto &[link, region] : m_exchangeLinks) {
+        const Observations visible = visibleIn(region, report);
+        if (link != source && !visible.empty())
+            m_links.send(link, encodeObservations(visible));
+    }
+}
+
+Observations EstateCoordinator::visibleIn(const std::string &region, Observations observations)
+{
+    std::erase_if(observations.crashSuspects, [&](const SharedSuspect &it) {
+        const auto &homes = it.homeRegions;
+        return !homes.empty() && std::find(homes.begin(), homes.end(), region) == homes.end();
+    });
+    return observations;
+}
+
+void EstateCoordinator::exchangeLinkOpened(LinkId link, const std::string &region)
+{
+    m_exchangeLinks[link] = region;
+    EstateUpdate update;
+    update.asOf = m_clock.now();
+    update.exchangeRegion = m_settings.region;
+    update.observations = visibleIn(region, m_reports.current(m_clock.now()));
+    m_links.send(link, encodeUpdate(update, m_clock.now(), m_compressor));
+}
+
+void EstateCoordinator::exchangeFrameReceived(LinkId link, const EstateUpdate &update)
+{
+    if (!update.exchangeRegion.empty())
+        m_exchangeLinks[link] = update.exchangeRegion;
+    // It was taken for a follower that needs updates.
+    if (m_followers.erase(link) > 0 && !readsForOthers()) {
+        updateOperatorPollTimeout();
+        scheduleRead();
+    }
+    reportReceived(link, update);
 }
 
 bool EstateCoordinator::reportReceived(LinkId link, const EstateUpdate &update)
@@ -132,6 +168,10 @@
         return update.status();
     if (update->targets || update->instances || !update->operatorRecords.records.empty())
         return absl::InvalidArgumentError("update from an instance that is not the reader");
+    if (!update->exchangeRegion.empty()) {
+        exchangeFrameReceived(link, *update);
+        return absl::OkStatus();
+    }
     if (reportReceived(link, *update))
         return absl::OkStatus();
     OverflowCounts counts;
@@ -143,6 +183,12 @@
 
 void EstateCoordinator::linkOpened(LinkId link, bool outbound, const Address &remote)
 {
+    if (outbound && m_role == Role::Reader) {
+        const auto partners = exchangePartners();
+        const auto partner = partners.find(remote);
+        exchangeLinkOpened(link, partner == partners.end() ? std::string() : partner->second);
+        return;
+    }
     if (outbound) {
         m_readerLink = link;
         LOG4CPLUS_INFO(m_logger,
@@ -150,6 +196,11 @@
         sendKnownReports(link);
         return;
     }
+    const std::string region = regionOf(remote.host);
+    if (!region.empty() && region != m_settings.region) {
+        exchangeLinkOpened(link, region);
+        return;
+    }
     const bool alreadyReading = readsForOthers();
     m_followers[link] = SyncedState();
     if (!alreadyReading) {
@@ -176,11 +227,16 @@
 {
     if (m_followers.contains(link))
         return followerFrameReceived(link, frame);
-    if (m_readerLink != link)
+    const bool isExchange = m_exchangeLinks.contains(link);
+    if (!isExchange && m_readerLink != link)
         return absl::InvalidArgumentError("update from an instance that is not the reader");
     const auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
+    if (isExchange) {
+        exchangeFrameReceived(link, *update);
+        return absl::OkStatus();
+    }
     if (reportReceived(link, *update))
         return absl::OkStatus();
     m_source.applyOperatorRecords(update->operatorRecords);
@@ -232,6 +288,7 @@
 
 void EstateCoordinator::linkClosed(LinkId link)
 {
+    m_exchangeLinks.erase(link);
     if (m_followers.erase(link) > 0 && !readsForOthers()) {
         updateOperatorPollTimeout();
         scheduleRead();
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -179,12 +179,20 @@
     if (message.crash_suspects()) {
         for (const relaywire::CrashSuspect *it : *message.crash_suspects()) {
             const std::uint32_t count = std::min(it->crash_count(), kMaxCrashCount);
-            update.observations.crashSuspects.push_back({ it->fingerprint(),
-                                                          static_cast<int>(count),
-                                                          milliseconds(it->remaining_ms()),
-                                                          {} });
+            SharedSuspect suspect{
+                it->fingerprint(), static_cast<int>(count), milliseconds(it->remaining_ms()), {}
+            };
+            absl::Status status = decodeNames(it->home_regions(), suspect.homeRegions);
+            if (!status.ok())
+                return status;
+            update.observations.crashSuspects.push_back(std::move(suspect));
         }
     }
+    if (message.exchange_region()) {
+        update.exchangeRegion = message.exchange_region()->str();
+        if (update.exchangeRegion.size() > kMaxNameBytes)
+            return absl::InvalidArgumentError("region name is too long");
+    }
     return decodeNames(message.leaving_targets(), update.observations.leavingTargets);
 }
 
@@ -328,9 +336,11 @@
         suspect->fingerprint = it.fingerprint;
         suspect->crash_count = static_cast<std::uint32_t>(it.crashCount);
         suspect->remaining_ms = toMsRoundedUp(it.remaining);
+        suspect->home_regions = it.homeRegions;
         message.crash_suspects.push_back(std::move(suspect));
     }
     message.leaving_targets = update.observations.leavingTargets;
+    message.exchange_region = update.exchangeRegion;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(relaywire::EstateUpdate::Pack(builder, &message));
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -64,6 +64,9 @@
     /// What instances have observed; only in a frame that contains nothing else, in either
     /// direction.
     Observations observations;
+    /// Region of the sender, in the first frame of a link that only exchanges reports; empty
+    /// otherwise.
+    std::string exchangeRegion;
 
     auto operator<=>(const EstateUpdate &) const = default;
 };
--- a/src/gateway/relay/reporthistory.h
+++ b/src/gateway/relay/reporthistory.h
@@ -6,9 +6,9 @@
 
 namespace lycheebay {
 
-/// What the instances have reported and what still holds, for the instances that link later. Merging
-/// is idempotent and commutative, so that reports may arrive in any order and on several ways. Does
-/// no I/O. Not thread-safe. `now` must not decrease.
+/// What the instances have reported and what still holds, for the instances that link later.
+/// Merging is idempotent and commutative, so that reports may arrive in any order and on several
+/// ways. Does no I/O. Not thread-safe. `now` must not decrease.
 class ReportHistory final
 {
 public:
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_TEST(instanceThatLinksLaterGetsTheReportsThatHold);
     CPPUNIT_TEST(newReaderGetsTheReportsOfItsFollowers);
     CPPUNIT_TEST(reportWithoutALinkIsSentOnTheNextOne);
+    CPPUNIT_TEST(restartedReaderGetsTheReportsOfTheNextInRank);
+    CPPUNIT_TEST(readersOfTwoRegionsExchangeReports);
+    CPPUNIT_TEST(formerReaderLinksAgainAsAFollower);
     CPPUNIT_TEST(unknownListIsNotSentAsAnEmptyOne);
     CPPUNIT_TEST(listThatWasNeverReceivedIsNotPublished);
     CPPUNIT_TEST(emptyListReplacesAKnownOne);
@@ -91,19 +94,25 @@
         void stop() override {}
         void setDesiredAddresses(std::vector<Address> it) override { desired = std::move(it); }
         void send(LinkId link, std::string frame) override { sent.emplace_back(link, frame); }
-        void close(LinkId, std::string) override {}
+        void close(LinkId link, std::string) override { closed.push_back(link); }
 
         std::vector<Address> desired;
         std::vector<std::pair<LinkId, std::string>> sent;
+        std::vector<LinkId> closed;
     };
 
     struct Instance
     {
         Instance(LoopFixture &loop, IRandomSource &random, const std::string &id,
-                 bool wholeSystemStarts = false)
+                 bool wholeSystemStarts = false, const std::string &region = "r")
             : clock(loop.clock)
             , coordinator(loop.timers, loop.clock, random, blackboard, source, links,
-                          { id, "r", { { "d1", "r" }, { "d2", "r" } }, 700, 2s, wholeSystemStarts })
+                          { id,
+                            region,
+                            { { "d1", "r" }, { "d2", "r" }, { "e1", "q" } },
+                            700,
+                            2s,
+                            wholeSystemStarts })
         {
             CPPUNIT_ASSERT(coordinator.start().ok());
         }
@@ -172,7 +181,7 @@
         auto b = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.2:80");
         for (Instance *it : { a.get(), b.get() })
             it->publishInstances({ "10.0.0.1:80", "10.0.0.2:80" });
-        const bool firstReads = a->links.desired.empty();
+        const bool firstReads = a->coordinator.isReader();
         m_reader = std::move(firstReads ? a : b);
         m_follower = std::move(firstReads ? b : a);
         m_reader->coordinator.linkOpened(kLink, false, {});
@@ -311,6 +320,81 @@
         CPPUNIT_ASSERT(update->observations.leavingTargets == report->leavingTargets);
     }
 
+    // Guards against a request that crashes targets behind a restarted reader until the others,
+    // which avoid it for some seconds, follow it again.
+    void restartedReaderGetsTheReportsOfTheNextInRank()
+    {
+        makePair();
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { 77, 2, 30s, {} } };
+        m_follower->blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
+        m_follower->coordinator.linkClosed(kLink);
+        m_follower->links.sent.clear();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.desired.size());
+        m_reader->coordinator.linkOpened(kLink, true, m_reader->links.desired[0]);
+        m_follower->coordinator.linkOpened(kLink, false, {});
+        const int reads = m_follower->source.reads;
+        deliverFrames();
+        for (const auto &[link, frame] : m_follower->links.sent)
+            CPPUNIT_ASSERT(m_reader->coordinator.frameReceived(kLink, frame).ok());
+        const auto received = m_reader->blackboard.peerReports.read();
+        CPPUNIT_ASSERT(received && received->crashSuspects.size() == 1);
+        // The link gets no updates.
+        m_follower->links.sent.clear();
+        m_follower->reportTargets("t");
+        CPPUNIT_ASSERT(m_follower->links.sent.empty());
+        CPPUNIT_ASSERT_EQUAL(reads, m_follower->source.reads);
+    }
+
+    // Guards against a request that crashes targets in each region, and against a report that
+    // leaves the home regions of its request.
+    void readersOfTwoRegionsExchangeReports()
+    {
+        Instance here(*m_loop, m_random, "10.0.0.1:80");
+        Instance there(*m_loop, m_random, "10.1.0.1:80", false, "q");
+        auto list = makeRef<InstanceList>();
+        list->instances = { { "10.0.0.1:80", { "10.0.0.1", 80 }, "d1" },
+                            { "10.1.0.1:80", { "10.1.0.1", 80 }, "e1" } };
+        for (Instance *it : { &here, &there })
+            it->blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
+        const std::vector<Address> partners{ { "10.1.0.1", 700 } };
+        CPPUNIT_ASSERT(here.links.desired == partners);
+        here.coordinator.linkOpened(kLink, true, here.links.desired[0]);
+        there.coordinator.linkOpened(kLink, false, { "10.0.0.1", 3456 });
+        there.reportTargets("t");
+        auto report = makeRef<InstanceReport>();
+        report->crashSuspects = { { 77, 2, 30s, {} }, { 78, 2, 30s, { "r" } } };
+        here.blackboard.reports.publish(IntrusivePtr<const InstanceReport>(report));
+        for (const auto &[link, frame] : here.links.sent)
+            CPPUNIT_ASSERT(there.coordinator.frameReceived(kLink, frame).ok());
+        const auto received = there.blackboard.peerReports.read();
+        CPPUNIT_ASSERT(received);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, received->crashSuspects.size());
+        CPPUNIT_ASSERT_EQUAL(Fingerprint{ 77 }, received->crashSuspects[0].fingerprint);
+        // It is not sent back, and the other region gets no lists.
+        for (const auto &[link, frame] : there.links.sent) {
+            const auto update = decodeUpdate(frame, m_loop->clock.now());
+            CPPUNIT_ASSERT(update.ok() && !update->targets && update->observations.empty());
+        }
+    }
+
+    // Guards against an instance without updates: its link for reports leads to its new reader.
+    void formerReaderLinksAgainAsAFollower()
+    {
+        makePair();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_reader->links.desired.size());
+        m_reader->coordinator.linkOpened(kLink + 1, true, m_reader->links.desired[0]);
+        auto list = makeRef<InstanceList>();
+        for (const GatewayInstance &it : m_reader->blackboard.instances.read()->instances) {
+            list->instances.push_back(it);
+            list->instances.back().weight =
+                    it.address.host == m_reader->links.desired[0].host ? 2 : 1;
+        }
+        m_reader->blackboard.instances.publish(IntrusivePtr<const InstanceList>(list));
+        CPPUNIT_ASSERT(!m_reader->coordinator.isReader());
+        CPPUNIT_ASSERT(m_reader->links.closed == std::vector<LinkId>{ kLink + 1 });
+    }
+
     // Guards against instances that name no address: the reader started last, sent an update before
     // it knew any instance, and its followers replaced their list by an empty one (review, case 3).
     void unknownListIsNotSentAsAnEmptyOne()
@@ -380,7 +464,8 @@
             { { "home", 0.25 } },
             9,
             { { "far", 4, 5 } },
-            { { { 77, 2, 30s, {} } }, { "t@5" } }
+            { { { 77, 2, 30s, { "far" } } }, { "t@5" } },
+            "q"
         };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeUpdate(encodeUpdate(update, now, m_compressor), later);
