Check a target once for all attempts that it lost

Callers saw: nothing so far. With over 64 attempts lost at a time, what went over was never judged. Cause: each lost attempt had a check of its own, with up to four connections, and there was a limit of 64. Change: one check serves all attempts that a target has lost at once; the limit counts targets.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -19,7 +19,7 @@
 constexpr Duration kCheckDelay = milliseconds(150);
 // A response that the target sent before its crash may be read shortly after it.
 constexpr Duration kAnswerMargin = milliseconds(20);
-constexpr int kMaxChecks = 4;
+constexpr int kMaxCheckConnections = 4;
 constexpr std::size_t kMaxConcurrentChecks = 64;
 constexpr ClientConnectionTimeouts kCheckTimeouts{ milliseconds(250), milliseconds(250), {} };
 // Two lost attempts in a row are rarely a coincidence: the request is not sent before the verdict.
@@ -37,18 +37,20 @@
     return identifyRequest(request, host ? *host : std::string()).low;
 }
 
-/// An attempt whose target is being checked.
-struct CrashMonitor::LostAttempt final : RefCounted
+/// The check of a target that lost attempts.
+struct CrashMonitor::TargetCheck final : RefCounted
 {
-    SentRequest request;
+    /// The requests that were lost, and when.
+    std::vector<std::pair<SentRequest, TimePoint>> lost;
+    /// When the last one was lost.
     TimePoint lostAt;
     IntrusivePtr<TargetConnections> target;
     std::string healthPath;
     IntrusivePtr<HttpClientConnection> connection;
     TimerSubscription timer;
-    int checks = 0;
-    /// Checks whose connection the target ended without a response.
-    int lostChecks = 0;
+    int connections = 0;
+    /// Connections that the target ended without a response.
+    int lostConnections = 0;
 };
 
 CrashMonitor::CrashMonitor(asio::io_context &context, ITimerService &timers, const IClock &clock,
@@ -69,7 +71,7 @@
 
 CrashMonitor::~CrashMonitor()
 {
-    for (const IntrusivePtr<LostAttempt> &it : m_checks) {
+    for (const IntrusivePtr<TargetCheck> &it : m_checks) {
         it->timer.reset();
         if (it->connection)
             it->connection->close();
@@ -100,9 +102,13 @@
     // Such losses are not counted.
     if (m_suspects.hasRespondedLately(fingerprint, m_clock.now()))
         return 0;
-    return static_cast<int>(std::count_if(m_checks.begin(), m_checks.end(), [&](const auto &it) {
-        return it->request.fingerprint == fingerprint;
-    }));
+    std::ptrdiff_t n = 0;
+    for (const IntrusivePtr<TargetCheck> &it : m_checks) {
+        n += std::count_if(it->lost.begin(), it->lost.end(), [&](const auto &entry) {
+            return entry.first.fingerprint == fingerprint;
+        });
+    }
+    return static_cast<int>(n);
 }
 
 bool CrashMonitor::isRefused(Fingerprint fingerprint) const
@@ -146,72 +152,86 @@
                                      const IntrusivePtr<TargetConnections> &target,
                                      const std::string &healthPath)
 {
-    // Very many attempts are lost together only when a failure domain fails.
-    if (m_checks.size() >= kMaxConcurrentChecks) {
-        m_metrics.countCrashCheck("skipped");
+    const TimePoint now = m_clock.now();
+    if (m_suspects.hasRespondedLately(request.fingerprint, now))
         return;
+    // A target that crashes loses all of its attempts at once; one check serves them.
+    auto known = std::find_if(m_checks.begin(), m_checks.end(), [&](const auto &it) {
+        return it->target == target && it->connections == 0;
+    });
+    if (known == m_checks.end()) {
+        // Very many targets are lost together only when a failure domain fails.
+        if (m_checks.size() >= kMaxConcurrentChecks) {
+            m_metrics.countCrashCheck("skipped");
+            return;
+        }
+        auto check = makeRef<TargetCheck>();
+        check->target = target;
+        check->healthPath = healthPath;
+        known = m_checks.insert(m_checks.end(), check);
+        scheduleCheck(check);
     }
-    auto attempt = makeRef<LostAttempt>();
-    attempt->request = request;
-    attempt->lostAt = m_clock.now();
-    attempt->target = target;
-    attempt->healthPath = healthPath;
-    m_checks.push_back(attempt);
-    scheduleCheck(attempt);
+    (*known)->lost.emplace_back(request, now);
+    (*known)->lostAt = now;
     // The others wait for the verdict too. If this instance ends before it, they go on with care.
     if (undecidedLosses(request.fingerprint) == kMaxUndecidedLosses)
         publish({ request.fingerprint, kMaxUndecidedLosses, kUndecidedRefusal,
                   request.homeRegions });
 }
 
-void CrashMonitor::scheduleCheck(const IntrusivePtr<LostAttempt> &attempt)
+void CrashMonitor::scheduleCheck(const IntrusivePtr<TargetCheck> &check)
 {
     // The copy outlives the timer, which is replaced during the call.
-    attempt->timer = m_timers.after(kCheckDelay,
-                                    [this, attempt] { check(IntrusivePtr<LostAttempt>(attempt)); });
+    check->timer = m_timers.after(kCheckDelay,
+                                  [this, check] { checkTarget(IntrusivePtr<TargetCheck>(check)); });
 }
 
-void CrashMonitor::check(const IntrusivePtr<LostAttempt> &attempt)
+void CrashMonitor::checkTarget(const IntrusivePtr<TargetCheck> &check)
 {
-    const bool hasAnswered = attempt->target->lastAnswerAt() > attempt->lostAt + kAnswerMargin;
-    if (hasAnswered || attempt->checks == kMaxChecks) {
-        const bool hasEndedAll = attempt->lostChecks == kMaxChecks;
+    const bool hasAnswered = check->target->lastAnswerAt() > check->lostAt + kAnswerMargin;
+    if (hasAnswered || check->connections == kMaxCheckConnections) {
+        const bool hasEndedAll = check->lostConnections == kMaxCheckConnections;
         const Verdict unanswered = hasEndedAll ? Verdict::Crashed : Verdict::Silent;
-        endCheck(attempt, hasAnswered ? Verdict::Alive : unanswered);
+        endCheck(check, hasAnswered ? Verdict::Alive : unanswered);
         return;
     }
-    ++attempt->checks;
-    const TargetRecord &target = attempt->target->record();
-    attempt->connection = makeRef<HttpClientConnection>(m_context, m_timers, m_clock,
-                                                        target.address, kCheckTimeouts);
-    attempt->timer = m_timers.after(kCheckTimeouts.connect, [this, attempt] {
-        attempt->connection->close();
-        scheduleCheck(IntrusivePtr<LostAttempt>(attempt));
+    ++check->connections;
+    const TargetRecord &target = check->target->record();
+    check->connection = makeRef<HttpClientConnection>(m_context, m_timers, m_clock, target.address,
+                                                      kCheckTimeouts);
+    check->timer = m_timers.after(kCheckTimeouts.connect, [this, check] {
+        check->connection->close();
+        scheduleCheck(IntrusivePtr<TargetCheck>(check));
     });
     const HttpRequest request{
-        "GET", attempt->healthPath, { { "Host", target.address.toString() } }, {}
+        "GET", check->healthPath, { { "Host", target.address.toString() } }, {}
     };
-    attempt->connection->send(serializeRequest(request), false, nullptr,
-                              [this, attempt](TransferResult result, const HttpResponse &response) {
-                                  checkEnded(IntrusivePtr<LostAttempt>(attempt), result, response);
-                              });
+    check->connection->send(serializeRequest(request), false, nullptr,
+                            [this, check](TransferResult result, const HttpResponse &response) {
+                                checkEnded(IntrusivePtr<TargetCheck>(check), result, response);
+                            });
 }
 
-void CrashMonitor::endCheck(const IntrusivePtr<LostAttempt> &attempt, Verdict verdict)
+void CrashMonitor::endCheck(const IntrusivePtr<TargetCheck> &check, Verdict verdict)
 {
     constexpr std::array kNames{ "alive", "crashed", "silent" };
     const char *name = kNames.at(static_cast<std::size_t>(verdict));
-    attempt->timer.reset();
-    std::erase(m_checks, attempt);
+    check->timer.reset();
+    std::erase(m_checks, check);
     m_metrics.countCrashCheck(name);
-    LogFields fields("crash_check_ended");
-    fields.add("target", attempt->target->record().id).add("verdict", name);
-    fields.addMs("after_ms", m_clock.now() - attempt->lostAt);
-    write(fields, attempt->request.fingerprint);
-    if (verdict == Verdict::Crashed)
-        recordCrash(*attempt);
-    if (!isUndecided(attempt->request.fingerprint))
-        releaseWaiting(attempt->request.fingerprint);
+    const std::string &target = check->target->record().id;
+    for (const auto &[request, lostAt] : check->lost) {
+        LogFields fields("crash_check_ended");
+        fields.add("target", target).add("verdict", name);
+        fields.addMs("after_ms", m_clock.now() - lostAt);
+        write(fields, request.fingerprint);
+        if (verdict == Verdict::Crashed)
+            recordCrash(request, lostAt, target);
+    }
+    for (const auto &[request, lostAt] : check->lost) {
+        if (!isUndecided(request.fingerprint))
+            releaseWaiting(request.fingerprint);
+    }
 }
 
 void CrashMonitor::releaseWaiting(Fingerprint fingerprint)
@@ -226,33 +246,33 @@
         done();
 }
 
-void CrashMonitor::checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
+void CrashMonitor::checkEnded(const IntrusivePtr<TargetCheck> &check, TransferResult result,
                               const HttpResponse &response)
 {
-    const bool refused = attempt->connection->isRefused();
-    attempt->connection->close();
+    const bool refused = check->connection->isRefused();
+    check->connection->close();
     bool hasCrashed = refused;
     if (result == TransferResult::Answered) {
         const std::string id = m_protocol.readResponseMetadata(response).targetId;
-        hasCrashed = !id.empty() && id != attempt->target->record().id;
+        hasCrashed = !id.empty() && id != check->target->record().id;
     } else if (!refused) {
-        attempt->lostChecks += result == TransferResult::Lost ? 1 : 0;
-        scheduleCheck(attempt);
+        check->lostConnections += result == TransferResult::Lost ? 1 : 0;
+        scheduleCheck(check);
         return;
     }
-    endCheck(attempt, hasCrashed ? Verdict::Crashed : Verdict::Alive);
+    endCheck(check, hasCrashed ? Verdict::Crashed : Verdict::Alive);
 }
 
-void CrashMonitor::recordCrash(const LostAttempt &attempt)
+void CrashMonitor::recordCrash(const SentRequest &request, TimePoint lostAt,
+                               const std::string &targetId)
 {
-    const SharedSuspect suspect =
-            m_suspects.recordCrash(attempt.request.fingerprint, attempt.request.homeRegions,
-                                   { attempt.request.sentAt, attempt.lostAt }, m_clock.now());
+    const SharedSuspect suspect = m_suspects.recordCrash(request.fingerprint, request.homeRegions,
+                                                         { request.sentAt, lostAt }, m_clock.now());
     if (suspect.crashCount == 0)
         return;
     LogFields fields("crash_suspected");
-    fields.add("target", attempt.target->record().id).add("crashes", suspect.crashCount);
-    write(fields, attempt.request.fingerprint);
+    fields.add("target", targetId).add("crashes", suspect.crashCount);
+    write(fields, request.fingerprint);
     publish(suspect);
 }
 
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -63,20 +63,20 @@
                            const std::string &healthPath);
 
 private:
-    struct LostAttempt;
+    struct TargetCheck;
     enum class Verdict { Alive, Crashed, Silent };
 
     int undecidedLosses(Fingerprint fingerprint) const;
     /// Reports to the other instances.
     void publish(const SharedSuspect &suspect);
 
-    void scheduleCheck(const IntrusivePtr<LostAttempt> &attempt);
-    void check(const IntrusivePtr<LostAttempt> &attempt);
-    void endCheck(const IntrusivePtr<LostAttempt> &attempt, Verdict verdict);
-    void checkEnded(const IntrusivePtr<LostAttempt> &attempt, TransferResult result,
+    void scheduleCheck(const IntrusivePtr<TargetCheck> &check);
+    void checkTarget(const IntrusivePtr<TargetCheck> &check);
+    void endCheck(const IntrusivePtr<TargetCheck> &check, Verdict verdict);
+    void checkEnded(const IntrusivePtr<TargetCheck> &check, TransferResult result,
                     const HttpResponse &response);
     void releaseWaiting(Fingerprint fingerprint);
-    void recordCrash(const LostAttempt &attempt);
+    void recordCrash(const SentRequest &request, TimePoint lostAt, const std::string &targetId);
     void adoptReport(const InstanceReport &report);
     void write(LogFields &fields, Fingerprint fingerprint);
 
@@ -88,7 +88,7 @@
     GatewayMetrics &m_metrics;
     DecisionLog &m_log;
     CrashSuspects m_suspects;
-    std::vector<IntrusivePtr<LostAttempt>> m_checks;
+    std::vector<IntrusivePtr<TargetCheck>> m_checks;
     /// Callbacks of whenDecided().
     std::vector<std::pair<Fingerprint, std::function<void()>>> m_waiting;
 };
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(repeatBeforeTheVerdictCrashesNoFurtherTarget);
     CPPUNIT_TEST(serverErrorDoesNotClearASuspect);
     CPPUNIT_TEST(queuedSuspectIsNotPlaced);
+    CPPUNIT_TEST(manyLossesAtOnceAreAllJudged);
     CPPUNIT_TEST(lostConnectionToARunningTargetIsNoCrash);
     CPPUNIT_TEST(suspectOfAnotherInstanceIsRefused);
     CPPUNIT_TEST(targetThatSaysItLeavesGetsNoNewRequests);
@@ -739,6 +740,24 @@
         CPPUNIT_ASSERT_EQUAL(2, target.runs);
     }
 
+    void manyLossesAtOnceAreAllJudged()
+    {
+        Target &target = addTarget(Behaviour::Answer);
+        const TargetRecord record = m_blackboard->targets.read()->targets[0];
+        const auto connections =
+                makeRef<TargetConnections>(m_loop->context, m_loop->timers, m_loop->clock, record);
+        target.listener->stopAccepting();
+        DecisionLog log(m_loop->clock, 0);
+        CrashMonitor monitor(m_loop->context, m_loop->timers, m_loop->clock, m_protocol,
+                             *m_blackboard, *m_metrics, log);
+        constexpr Fingerprint kRequests = 100;
+        for (Fingerprint it = 1; it <= kRequests; ++it)
+            monitor.recordLostAttempt({ it, m_loop->clock.now(), {} }, connections, "/health");
+        CPPUNIT_ASSERT(m_loop->runUntil([&] { return !monitor.isUndecided(1); }));
+        for (Fingerprint it = 1; it <= kRequests; ++it)
+            CPPUNIT_ASSERT(monitor.isSuspected(it));
+    }
+
     // Guards against refusing requests because full targets reset connections.
     void lostConnectionToARunningTargetIsNoCrash()
     {
