Take a target that falls silent alone for a crash

Callers saw: a request whose targets fall silent in place of closing was sent to further ones each time it came, with a hedge each time. Cause: an attempt that ends with the deadline or behind a hedge is abandoned and was no loss; and a target that does not answer its check was never judged, since the path to it may be cut. Change: an attempt that was abandoned late is checked if its target has answered nothing since. Silence counts as a crash if others of the failure domain answer meanwhile.

--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -139,6 +139,11 @@
     return m_suspects.isSuspected(fingerprint, m_clock.now());
 }
 
+void CrashMonitor::recordAnswer(const std::string &failureDomain)
+{
+    m_lastAnswers[failureDomain] = m_clock.now();
+}
+
 void CrashMonitor::recordResponse(Fingerprint fingerprint)
 {
     if (isSuspected(fingerprint)) {
@@ -190,9 +195,7 @@
 {
     const bool hasAnswered = check->target->lastAnswerAt() > check->lostAt + kAnswerMargin;
     if (hasAnswered || check->connections == kMaxCheckConnections) {
-        const bool hasEndedAll = check->lostConnections == kMaxCheckConnections;
-        const Verdict unanswered = hasEndedAll ? Verdict::Crashed : Verdict::Silent;
-        endCheck(check, hasAnswered ? Verdict::Alive : unanswered);
+        endCheck(check, hasAnswered ? Verdict::Alive : verdictOnSilence(*check));
         return;
     }
     ++check->connections;
@@ -212,6 +215,17 @@
                             });
 }
 
+CrashMonitor::Verdict CrashMonitor::verdictOnSilence(const TargetCheck &check) const
+{
+    if (check.lostConnections == kMaxCheckConnections)
+        return Verdict::Crashed;
+    // If the whole failure domain is silent, the path to it may be cut.
+    const auto last = m_lastAnswers.find(check.target->record().failureDomain);
+    const bool othersAnswer =
+            last != m_lastAnswers.end() && last->second > check.lostAt + kAnswerMargin;
+    return othersAnswer ? Verdict::Crashed : Verdict::Silent;
+}
+
 void CrashMonitor::endCheck(const IntrusivePtr<TargetCheck> &check, Verdict verdict)
 {
     constexpr std::array kNames{ "alive", "crashed", "silent" };
--- a/src/gateway/internal/crashmonitor.h
+++ b/src/gateway/internal/crashmonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/stringmap.h"
 #include "gateway/gatewayblackboard.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/internal/decisionlog.h"
@@ -27,7 +28,8 @@
 /// Recognizes requests that crash the targets which run them, and shares them with the other
 /// instances of the region. A lost connection alone is no crash, since some targets reset
 /// connections when they are full: the target must then refuse connections or end each one without
-/// a response, or another incarnation must answer at its address. Not thread-safe: use it on the
+/// a response, or another incarnation must answer at its address, or it must be silent while others
+/// of its failure domain answer. Not thread-safe: use it on the
 /// event loop.
 class CrashMonitor final
 {
@@ -54,10 +56,13 @@
     void whenDecided(Fingerprint fingerprint, std::function<void()> done);
     /// True if the request is suspected of a crash and must not be retried.
     bool isSuspected(Fingerprint fingerprint);
+    /// Reports that a target of the failure domain has answered.
+    void recordAnswer(const std::string &failureDomain);
     /// Reports that a target ran the request to its end.
     void recordResponse(Fingerprint fingerprint);
-    /// Reports that the connection of an attempt was lost before the end of the response. Checks
-    /// shortly afterwards, by \a healthPath, whether the target has crashed.
+    /// Reports that the connection of an attempt was lost before the end of the response, or that
+    /// the target was silent for very long. Checks shortly afterwards, by \a healthPath, whether
+    /// the target has crashed.
     void recordLostAttempt(const SentRequest &request,
                            const IntrusivePtr<TargetConnections> &target,
                            const std::string &healthPath);
@@ -67,6 +72,8 @@
     enum class Verdict { Alive, Crashed, Silent };
 
     int undecidedLosses(Fingerprint fingerprint) const;
+    /// Verdict on a target that has answered none of the connections of its check.
+    Verdict verdictOnSilence(const TargetCheck &check) const;
     /// Reports to the other instances.
     void publish(const SharedSuspect &suspect);
 
@@ -89,6 +96,8 @@
     DecisionLog &m_log;
     CrashSuspects m_suspects;
     std::vector<IntrusivePtr<TargetCheck>> m_checks;
+    /// When a target of each failure domain answered last.
+    StringMap<TimePoint> m_lastAnswers;
     /// Callbacks of whenDecided().
     std::vector<std::pair<Fingerprint, std::function<void()>>> m_waiting;
 };
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -258,8 +258,10 @@
     }
     const ResponseMetadata metadata = m_context.protocol.readResponseMetadata(response);
     const bool rejected = metadata.notRun || metadata.wrongTarget;
-    if (!metadata.wrongTarget)
+    if (!metadata.wrongTarget) {
         attempt->targetConnections->recordAnswer(m_context.clock.now());
+        m_context.crashes.recordAnswer(attempt->targetConnections->record().failureDomain);
+    }
     if (rejected && metadata.attemptId.empty()) {
         // A faulty target may send the rejection again where the next answer is expected.
         attempt->connection->close();
@@ -398,6 +400,9 @@
         m_executionState = ExecutionState::MayHaveRun;
         const Duration elapsed = elapsedSince(it->sentAt);
         const bool slow = toSeconds(elapsed) > toSeconds(it->expected) * kSlowTargetFactor;
+        // A crashed target may also fall silent.
+        if (slow && it->targetConnections->lastAnswerAt() < it->sentAt)
+            recordLoss(it);
         it->connection->close();
         finishAttempt(it, slow ? AttemptResult::TimedOut : AttemptResult::Abandoned, elapsed);
     }
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(serverErrorDoesNotClearASuspect);
     CPPUNIT_TEST(queuedSuspectIsNotPlaced);
     CPPUNIT_TEST(manyLossesAtOnceAreAllJudged);
+    CPPUNIT_TEST(targetThatFallsSilentIsNoticedWhileOthersAnswer);
+    CPPUNIT_TEST(silenceOfAllTargetsIsNoCrash);
     CPPUNIT_TEST(lostConnectionToARunningTargetIsNoCrash);
     CPPUNIT_TEST(suspectOfAnotherInstanceIsRefused);
     CPPUNIT_TEST(targetThatSaysItLeavesGetsNoNewRequests);
@@ -758,6 +760,48 @@
             CPPUNIT_ASSERT(monitor.isSuspected(it));
     }
 
+    /// Sends a request four times to targets that fall silent once they run it; returns the runs.
+    /// The targets answer other requests before that, which come beside it if \a othersAnswer.
+    int runsOnSilentTargets(bool othersAnswer)
+    {
+        constexpr int kTargets = 6;
+        publishConfiguration(600ms, 100ms);
+        for (int i = 0; i < kTargets; ++i) {
+            Target &target = *m_targets.emplace_back(std::make_unique<Target>());
+            target.raw = std::make_unique<RawServer>(
+                    *m_loop, [this, &target](std::string_view request, int) {
+                        if (request.starts_with("GET /lookup/poison"))
+                            ++target.runs;
+                        return target.runs > 0 ? std::string() : serialized(loadResponse());
+                    });
+        }
+        publishTargets();
+        const auto timer = m_loop->timers.every(30ms, [this, othersAnswer] {
+            if (othersAnswer)
+                sendRequest("/order/other", "POST");
+        });
+        m_loop->runFor(200ms);
+        for (int i = 0; i < 4; ++i) {
+            waitForResponse(sendRequest("/lookup/poison"));
+            m_loop->runFor(2200ms);
+        }
+        return totalRuns();
+    }
+
+    void targetThatFallsSilentIsNoticedWhileOthersAnswer()
+    {
+        const int runs = runsOnSilentTargets(true);
+        CPPUNIT_ASSERT(runs >= 2);
+        CPPUNIT_ASSERT(runs <= 3);
+    }
+
+    void silenceOfAllTargetsIsNoCrash()
+    {
+        runsOnSilentTargets(false);
+        CPPUNIT_ASSERT(m_metrics->render().find(R"(crash_checks_total{verdict="crashed"})")
+                       == std::string::npos);
+    }
+
     // Guards against refusing requests because full targets reset connections.
     void lostConnectionToARunningTargetIsNoCrash()
     {
