Reject responses whose status HTTP does not define

Callers saw: a target in trouble answered with the status 000, and the caller got it as an answer (as status 0). Cause: HttpMessageParser takes the status over as http_parser reads it, any run of digits, and nothing between there and the caller checks its range. Evidence: rejectsStatusOutsideTheRange and answerWithAnInvalidStatusIsNotPassedOn failed before: 000, 00, 0, 099, 20, 600 and 999 were Complete, and the caller got status 0 for 000. Change: a response with a status below 100 or above 599 is Malformed. The parser reads the answers of targets, probes, the store and other instances, so that none of them is taken for one; the caller gets 502, and a lookup another target.

--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(callerDisconnectDoesNotCancelAtMostOnceRequest);
     CPPUNIT_TEST(callerThatLeavesBeforeTheTargetListIsKnownIsNoticed);
+    CPPUNIT_TEST(answerWithAnInvalidStatusIsNotPassedOn);
     CPPUNIT_TEST(endlessAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(endlessAnswersLeaveLookupsToOtherTargets);
     CPPUNIT_TEST(drippedAnswerEndsWithTheRouteTimeout);
@@ -256,6 +257,34 @@
         publishTargets();
     }
 
+    /// Checks that each of \a answers is replaced by a 502, for lookups and orders alike, and that
+    /// right answers of the same targets are passed on.
+    void checkNotPassedOn(const std::vector<std::string> &answers)
+    {
+        publishConfiguration();
+        std::string answer;
+        const auto reply = [&answer](std::string_view request, int) {
+            const bool isBroken = request.find("/broken") != std::string_view::npos;
+            return isBroken ? answer : serialized(loadResponse());
+        };
+        // A lookup is sent to both.
+        for (int i = 0; i < 2; ++i) {
+            m_targets.push_back(std::make_unique<Target>());
+            m_targets.back()->raw = std::make_unique<RawServer>(*m_loop, reply);
+        }
+        publishTargets();
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            answer = answers[i];
+            for (const char *path : { "/lookup/", "/order/" }) {
+                const std::string broken = path + std::string("broken") + std::to_string(i);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, 502,
+                                             waitForResponse(sendRequest(broken)).status);
+                for (int n = 0; n < 2; ++n)
+                    CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest(path)).status);
+            }
+        }
+    }
+
     /// Checks that a request whose targets crash after they have sent \a bytes is refused once the
     /// first crashes are known.
     void checkCrashAfter(const std::string &bytes)
@@ -593,6 +622,16 @@
 
     // Fails if bytes without end occupy the instance until the deadline, or if "not run" is said of
     // a request that the target may have run.
+    void answerWithAnInvalidStatusIsNotPassedOn()
+    {
+        std::vector<std::string> answers;
+        for (const char *status : { "000", "00", "099", "20", "600", "999" }) {
+            answers.push_back("HTTP/1.1 " + std::string(status)
+                              + " Text\r\nContent-Length: 2\r\n\r\nok");
+        }
+        checkNotPassedOn(answers);
+    }
+
     void endlessAnswerOfAnAtMostOnceRequestIsUnknown()
     {
         publishConfiguration(15s);
--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -11,6 +11,9 @@
 constexpr int kStop = 1;
 constexpr int kSkipBody = 1;
 constexpr int kError = -1;
+// Bounds of the status codes that HTTP defines (RFC 9110, 15).
+constexpr int kFirstStatus = 100;
+constexpr int kEndOfStatuses = 600;
 // Framing that is accepted for each byte of a chunked body; a chunk of one byte takes six.
 constexpr std::size_t kFramingPerBodyByte = 8;
 
@@ -63,6 +66,8 @@
             return kContinue;
         }
         it.m_response.status = static_cast<int>(parser->status_code);
+        if (it.m_response.status < kFirstStatus || it.m_response.status >= kEndOfStatuses)
+            return kError;
         return it.m_bodyless ? kSkipBody : kContinue;
     }
 
--- a/src/http/tests/httpmessageparsertest.cpp
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -33,9 +33,20 @@
     CPPUNIT_TEST(decodesChunks);
     CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(rejectsBadMessages);
+    CPPUNIT_TEST(rejectsStatusOutsideTheRange);
     CPPUNIT_TEST(boundsHeadAndBody);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Returns the state after a response, read as a whole, whose connection then ended.
+    static Parser::State stateAfter(const std::string &response)
+    {
+        Parser parser(Parser::Kind::Response);
+        parser.feed(response);
+        if (parser.state() == Parser::State::Incomplete)
+            parser.finish();
+        return parser.state();
+    }
+
 public:
     void readsARequestInPieces()
     {
@@ -115,6 +126,22 @@
         CPPUNIT_ASSERT_EQUAL(Parser::State::Malformed, cut.state());
     }
 
+    // Guards against a status that HTTP does not define being passed on to a caller.
+    void rejectsStatusOutsideTheRange()
+    {
+        for (const char *it :
+             { "000", "00", "0", "099", "20", "600", "999", "2000", "-20", "2xx", "+20", "" }) {
+            const std::string line = "HTTP/1.1 " + std::string(it) + " Text\r\n";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed,
+                                         stateAfter(line + "Content-Length: 2\r\n\r\nok"));
+        }
+        for (const char *it : { "200", "599" }) {
+            const std::string line = "HTTP/1.1 " + std::string(it) + " Text\r\n";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Complete,
+                                         stateAfter(line + "Content-Length: 2\r\n\r\nok"));
+        }
+    }
+
     void boundsHeadAndBody()
     {
         const HttpMessageLimits limits{ 64, 8 };
