Reject messages in a transfer coding that is not decoded here

Callers saw: an answer with Transfer-Encoding: gzip came as 200, with the coded bytes as its body and without the field that tells so. Cause: http_parser decodes chunks only. It takes any other coding for none and reads to the end of the connection; "gzip, chunked" and two such fields lose the first coding. Transfer-Encoding concerns one connection and is not forwarded. Change: a message is Malformed unless at most one field defines the length of its body: one Transfer-Encoding that is "chunked", or one Content-Length of digits. No request of ours offers a coding (TE), so no right answer has one. Two lengths, a length beside chunks, and lengths with a sign or 0x were handled before; the test keeps them.

--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -17,6 +17,20 @@
 // Framing that is accepted for each byte of a chunked body; a chunk of one byte takes six.
 constexpr std::size_t kFramingPerBodyByte = 8;
 
+/// Returns whether at most one field defines the length of the body, in a form that leaves no
+/// doubt. The library takes every coding but "chunked" for none.
+bool isFramingClear(const HttpHeaders &headers)
+{
+    const std::string *coding = findHeader(headers, "Transfer-Encoding");
+    const std::string *length = findHeader(headers, "Content-Length");
+    if (coding)
+        return !length && countHeader(headers, "Transfer-Encoding") == 1
+               && sameHeaderName(*coding, "chunked");
+    return !length
+           || (countHeader(headers, "Content-Length") == 1 && !length->empty()
+               && length->find_first_not_of("0123456789") == std::string::npos);
+}
+
 } // namespace
 
 /// The C callbacks of http_parser.
@@ -56,6 +70,8 @@
     {
         HttpMessageParser &it = self(parser);
         it.m_headComplete = true;
+        if (!isFramingClear(it.headers()))
+            return kError;
         const bool hasLength = parser->content_length != ULLONG_MAX;
         if (hasLength && !it.m_bodyless && parser->content_length > it.m_limits.bodyBytes) {
             it.m_state = HttpMessageParser::State::BodyTooLarge;
--- a/src/http/tests/httpmessageparsertest.cpp
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(rejectsBadMessages);
     CPPUNIT_TEST(rejectsStatusOutsideTheRange);
+    CPPUNIT_TEST(rejectsUnclearFraming);
     CPPUNIT_TEST(boundsHeadAndBody);
     CPPUNIT_TEST_SUITE_END();
 
@@ -142,6 +143,39 @@
         }
     }
 
+    // Guards against a body that is cut at the wrong place, or passed on in a coding that its
+    // receiver is not told of.
+    void rejectsUnclearFraming()
+    {
+        const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+        for (const char *it : {
+                     "Transfer-Encoding: gzip\r\n\r\nok",
+                     "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+                     "Content-Length: 2\r\nTransfer-Encoding: gzip\r\n\r\nok",
+                     "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+                     "Content-Length: 2, 2\r\n\r\nok",
+                     "Content-Length: +2\r\n\r\nok",
+                     "Content-Length: 0x2\r\n\r\nok",
+                     "Content-Length:\r\n\r\nok",
+             })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed,
+                                         stateAfter(std::string("HTTP/1.1 200 OK\r\n") + it));
+        for (const char *it : {
+                     "Transfer-Encoding: gzip, chunked\r\n",
+                     "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                     "Transfer-Encoding: chunked, chunked\r\n",
+                     "Transfer-Encoding: xchunked\r\n",
+                     "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n",
+             })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    it, Parser::State::Malformed,
+                    stateAfter(std::string("HTTP/1.1 200 OK\r\n") + it + chunks));
+        CPPUNIT_ASSERT_EQUAL(
+                Parser::State::Complete,
+                stateAfter("HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n" + chunks));
+    }
+
     void boundsHeadAndBody()
     {
         const HttpMessageLimits limits{ 64, 8 };
