Parse messages by the grammar of RFC 9112

Callers saw: answers of a target in trouble came as 200 although they were none: of HTTP/3.0, with a blank in the name of a field or before its colon, or with chunks whose data nothing separates from what follows. "Content-Length : 2" cut four bytes to two, and the line went on to the caller. Cause: Debian builds http_parser without its strict mode; it then takes blanks for characters of a name and does not look at what follows a chunk. It checks neither the version nor the reason. Checks on the head after it would not see the chunks. Change: Boost.Beast's parser reads messages. Its grammar does not depend on how a package was built: a name is a token that the colon follows, CR LF ends each line and each chunk, the version is 1.0 or 1.1, a status has three digits. The parser serves targets, probes, the store, other instances and callers' requests alike. As before, a request with an unknown method, CONNECT, an upgrade or a target of another form is refused, empty lines before a request are not; no answer to us may be 101. libboost-dev takes the place of libhttp-parser-dev. Names with control bytes, with bytes over 127, empty or without a colon, control bytes in values, chunk sizes with 0x or a sign and four-digit statuses were handled before; the tests keep them.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl jq
   libasio-dev libcpp-httplib-dev libflatbuffers-dev prometheus-cpp-dev
-  libtclap-dev liblog4cplus-dev libabsl-dev libcppunit-dev librapidcheck-dev libhttp-parser-dev libyaml-cpp-dev
+  libtclap-dev liblog4cplus-dev libabsl-dev libcppunit-dev librapidcheck-dev libboost-dev libyaml-cpp-dev
   liburcu-dev libxxhash-dev nlohmann-json3-dev libcsv-dev libbenchmark-dev libfmt-dev libssl-dev zlib1g-dev
 )
 
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -82,6 +82,8 @@
     CPPUNIT_TEST(callerDisconnectDoesNotCancelAtMostOnceRequest);
     CPPUNIT_TEST(callerThatLeavesBeforeTheTargetListIsKnownIsNoticed);
     CPPUNIT_TEST(answerWithAnInvalidStatusIsNotPassedOn);
+    CPPUNIT_TEST(answerWithAMalformedHeadIsNotPassedOn);
+    CPPUNIT_TEST(answerWithMalformedChunksIsNotPassedOn);
     CPPUNIT_TEST(endlessAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(endlessAnswersLeaveLookupsToOtherTargets);
     CPPUNIT_TEST(drippedAnswerEndsWithTheRouteTimeout);
@@ -632,6 +634,25 @@
         checkNotPassedOn(answers);
     }
 
+    void answerWithAMalformedHeadIsNotPassedOn()
+    {
+        const std::string end = "Content-Length: 2\r\n\r\nok";
+        checkNotPassedOn({
+                "HTTP/3.0 200 OK\r\n" + end,
+                "HTTP/1.1 200 OK\r\nX Y: z\r\n" + end,
+                "HTTP/1.1 200 OK\r\nX : z\r\n" + end,
+                "HTTP/1.1 200 OK\r\nX\x01: z\r\n" + end,
+                "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nlong",
+        });
+    }
+
+    void answerWithMalformedChunksIsNotPassedOn()
+    {
+        checkNotPassedOn({
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndataXX0\r\n\r\n",
+        });
+    }
+
     void endlessAnswerOfAnAtMostOnceRequestIsUnknown()
     {
         publishConfiguration(15s);
--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -1,24 +1,39 @@
 #include "http/httpmessageparser.h"
 
+#include <boost/beast/http/basic_parser.hpp>
+
 #include <algorithm>
-#include <climits>
+#include <optional>
 
 namespace lycheebay {
 
 namespace {
 
-constexpr int kContinue = 0;
-constexpr int kStop = 1;
-constexpr int kSkipBody = 1;
-constexpr int kError = -1;
-// Bounds of the status codes that HTTP defines (RFC 9110, 15).
-constexpr int kFirstStatus = 100;
-constexpr int kEndOfStatuses = 600;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using ErrorCode = beast::error_code;
+
 // Framing that is accepted for each byte of a chunked body; a chunk of one byte takes six.
 constexpr std::size_t kFramingPerBodyByte = 8;
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kEndOfStatuses = 600;
+
+std::string_view view(beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+/// True for the forms of a request target that name a resource of a server (RFC 9112, 3.2).
+bool isRequestTarget(std::string_view target)
+{
+    return target.starts_with('/') || target == "*" || target.find("://") != std::string_view::npos;
+}
 
 /// Returns whether at most one field defines the length of the body, in a form that leaves no
-/// doubt. The library takes every coding but "chunked" for none.
+/// doubt. The library takes other codings than "chunked" for none, and lists of lengths.
 bool isFramingClear(const HttpHeaders &headers)
 {
     const std::string *coding = findHeader(headers, "Transfer-Encoding");
@@ -27,133 +42,133 @@
         return !length && countHeader(headers, "Transfer-Encoding") == 1
                && sameHeaderName(*coding, "chunked");
     return !length
-           || (countHeader(headers, "Content-Length") == 1 && !length->empty()
+           || (countHeader(headers, "Content-Length") == 1
                && length->find_first_not_of("0123456789") == std::string::npos);
 }
 
 } // namespace
 
-/// The C callbacks of http_parser.
-struct HttpParserCallbacks
+/// Reads one message and passes its parts on to the parser.
+template <bool isRequest>
+class HttpMessageParser::MessageReader final : public http::basic_parser<isRequest>
 {
-    static HttpMessageParser &self(http_parser *parser)
+public:
+    explicit MessageReader(HttpMessageParser &parser)
+        : m_parser(parser)
     {
-        return *static_cast<HttpMessageParser *>(parser->data);
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(2 * parser.m_limits.headBytes));
+        this->body_limit(parser.m_limits.bodyBytes);
+        this->skip(parser.m_bodyless);
     }
 
-    static int onTarget(http_parser *parser, const char *at, std::size_t n)
+private:
+    using Text = beast::string_view;
+
+    void on_request_impl(http::verb verb, Text method, Text target, int, ErrorCode &ec) override
     {
-        HttpMessageParser &it = self(parser);
-        it.m_request.target.append(at, n);
-        return it.countHeadBytes(n) ? kContinue : kStop;
+        if (verb == http::verb::unknown || verb == http::verb::connect)
+            ec = http::error::bad_method;
+        else if (!isRequestTarget(view(target)))
+            ec = http::error::bad_target;
+        m_parser.m_request.method = view(method);
+        m_parser.m_request.target = view(target);
+        countHeadBytes(target.size(), ec);
     }
 
-    static int onHeaderName(http_parser *parser, const char *at, std::size_t n)
+    void on_response_impl(int status, Text, int, ErrorCode &ec) override
     {
-        HttpMessageParser &it = self(parser);
-        if (it.m_inHeaderValue || it.headers().empty())
-            it.headers().emplace_back();
-        it.m_inHeaderValue = false;
-        it.headers().back().name.append(at, n);
-        return it.countHeadBytes(n) ? kContinue : kStop;
+        if (status < kFirstStatus || status >= kEndOfStatuses || status == kSwitchingProtocols)
+            ec = http::error::bad_status;
+        m_parser.m_response.status = status;
     }
 
-    static int onHeaderValue(http_parser *parser, const char *at, std::size_t n)
+    void on_field_impl(http::field, Text name, Text value, ErrorCode &ec) override
     {
-        HttpMessageParser &it = self(parser);
-        it.m_inHeaderValue = true;
-        it.headers().back().value.append(at, n);
-        return it.countHeadBytes(n) ? kContinue : kStop;
+        m_parser.headers().push_back({ std::string(name), std::string(value) });
+        countHeadBytes(name.size() + value.size(), ec);
     }
 
-    static int onHeadComplete(http_parser *parser)
+    void on_header_impl(ErrorCode &ec) override
     {
-        HttpMessageParser &it = self(parser);
-        it.m_headComplete = true;
-        if (!isFramingClear(it.headers()))
-            return kError;
-        const bool hasLength = parser->content_length != ULLONG_MAX;
-        if (hasLength && !it.m_bodyless && parser->content_length > it.m_limits.bodyBytes) {
-            it.m_state = HttpMessageParser::State::BodyTooLarge;
-            return kError;
-        }
-        if (it.m_kind == HttpMessageParser::Kind::Request) {
-            it.m_request.method = http_method_str(static_cast<http_method>(parser->method));
-            return kContinue;
-        }
-        it.m_response.status = static_cast<int>(parser->status_code);
-        if (it.m_response.status < kFirstStatus || it.m_response.status >= kEndOfStatuses)
-            return kError;
-        return it.m_bodyless ? kSkipBody : kContinue;
+        m_parser.m_headComplete = true;
+        if (!isFramingClear(m_parser.headers()))
+            ec = http::error::bad_transfer_encoding;
+        if (isRequest && this->upgrade())
+            ec = http::error::bad_field;
     }
 
-    static int onBody(http_parser *parser, const char *at, std::size_t n)
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override {}
+
+    std::size_t on_body_impl(Text bytes, ErrorCode &) override
     {
-        HttpMessageParser &it = self(parser);
-        if (it.body().size() + n > it.m_limits.bodyBytes) {
-            it.m_state = HttpMessageParser::State::BodyTooLarge;
-            return kStop;
-        }
-        it.body().append(at, n);
-        return kContinue;
+        m_parser.body().append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode &ec) override
+    {
+        return on_body_impl(bytes, ec);
     }
 
-    static int onComplete(http_parser *parser)
+    void on_finish_impl(ErrorCode &) override {}
+
+    void countHeadBytes(std::size_t n, ErrorCode &ec)
     {
-        HttpMessageParser &it = self(parser);
-        const bool isInterim = it.m_kind == HttpMessageParser::Kind::Response
-                               && it.m_response.status >= 100 && it.m_response.status < 200;
-        if (isInterim) {
-            it.m_response = HttpResponse();
-            it.m_headComplete = false;
-            it.m_inHeaderValue = false;
-            return kContinue;
-        }
-        it.m_keepAlive = http_should_keep_alive(parser) != 0;
-        it.m_state = HttpMessageParser::State::Complete;
-        // Leaves the bytes of a following message unread.
-        http_parser_pause(parser, 1);
-        return kContinue;
+        m_parser.m_headBytes += n;
+        if (m_parser.m_headBytes > m_parser.m_limits.headBytes)
+            ec = http::error::header_limit;
     }
 
-    static const http_parser_settings &settings()
+    HttpMessageParser &m_parser;
+};
+
+/// The reader of the current message, of the parser's kind.
+struct HttpMessageParser::Readers
+{
+    template <typename Call>
+    auto apply(Call call)
     {
-        static const http_parser_settings kSettings = [] {
-            http_parser_settings it;
-            http_parser_settings_init(&it);
-            it.on_url = onTarget;
-            it.on_header_field = onHeaderName;
-            it.on_header_value = onHeaderValue;
-            it.on_headers_complete = onHeadComplete;
-            it.on_body = onBody;
-            it.on_message_complete = onComplete;
-            return it;
-        }();
-        return kSettings;
+        return request ? call(*request) : call(*response);
     }
+
+    std::optional<MessageReader<true>> request;
+    std::optional<MessageReader<false>> response;
 };
 
 HttpMessageParser::HttpMessageParser(Kind kind, const HttpMessageLimits &limits)
     : m_kind(kind)
     , m_limits(limits)
+    , m_readers(std::make_unique<Readers>())
 {
     restart();
 }
 
+HttpMessageParser::~HttpMessageParser() = default;
+
 void HttpMessageParser::restart(bool bodyless)
 {
-    http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
-    m_parser.data = this;
     m_state = State::Incomplete;
     m_started = false;
-    m_headComplete = false;
     m_keepAlive = false;
     m_bodyless = bodyless;
-    m_inHeaderValue = false;
     m_headBytes = 0;
     m_framingBytes = 0;
+    m_pending.clear();
+    startMessage();
+}
+
+void HttpMessageParser::startMessage()
+{
+    m_headComplete = false;
     m_request = HttpRequest();
     m_response = HttpResponse();
+    if (m_kind == Kind::Request)
+        m_readers->request.emplace(*this);
+    else
+        m_readers->response.emplace(*this);
 }
 
 std::size_t HttpMessageParser::feed(std::string_view bytes)
@@ -162,25 +177,77 @@
         return 0;
     m_started = true;
     const std::size_t bodyBytes = body().size();
-    const std::size_t n = http_parser_execute(&m_parser, &HttpParserCallbacks::settings(),
-                                              bytes.data(), bytes.size());
-    const auto error = HTTP_PARSER_ERRNO(&m_parser);
-    if (m_state == State::Incomplete && m_parser.upgrade != 0)
-        m_state = State::Malformed;
-    if (m_state == State::Incomplete && error == HPE_HEADER_OVERFLOW)
-        m_state = State::HeadTooLarge;
-    if (m_state == State::Incomplete && error != HPE_OK)
-        m_state = State::Malformed;
-    const std::size_t consumed = std::min(n, bytes.size());
+    const std::size_t pendingBytes = m_pending.size();
+    if (pendingBytes > 0)
+        m_pending.append(bytes);
+    const std::string_view input = pendingBytes > 0 ? std::string_view(m_pending) : bytes;
+    const std::size_t parsed = parse(input);
+    std::size_t consumed = bytes.size();
+    if (m_state != State::Incomplete) {
+        consumed = parsed - std::min(parsed, pendingBytes);
+        m_pending.clear();
+    } else if (pendingBytes > 0) {
+        m_pending.erase(0, parsed);
+    } else {
+        m_pending = input.substr(parsed);
+    }
     countFramingBytes(consumed, bodyBytes);
     return consumed;
 }
 
+std::size_t HttpMessageParser::parse(std::string_view input)
+{
+    std::size_t parsed = 0;
+    while (parsed < input.size() && m_state == State::Incomplete) {
+        const char next = input[parsed];
+        const bool isBetweenMessages =
+                !m_readers->apply([](const auto &reader) { return reader.got_some(); });
+        // A server ignores empty lines before a request (RFC 9112, 2.2).
+        if (m_kind == Kind::Request && isBetweenMessages && (next == '\r' || next == '\n')) {
+            ++parsed;
+            continue;
+        }
+        ErrorCode ec;
+        bool isDone = false;
+        m_readers->apply([&](auto &reader) {
+            parsed += reader.put({ input.data() + parsed, input.size() - parsed }, ec);
+            isDone = reader.is_done();
+        });
+        if (ec == http::error::need_more)
+            break;
+        if (ec == http::error::header_limit)
+            m_state = State::HeadTooLarge;
+        else if (ec == http::error::body_limit)
+            m_state = State::BodyTooLarge;
+        else if (ec)
+            m_state = State::Malformed;
+        else if (isDone)
+            messageEnded();
+    }
+    return parsed;
+}
+
+void HttpMessageParser::messageEnded()
+{
+    if (m_kind == Kind::Response && m_response.status < kFirstFinalStatus) {
+        startMessage();
+        return;
+    }
+    m_keepAlive = m_readers->apply([](const auto &reader) { return reader.keep_alive(); });
+    m_state = State::Complete;
+}
+
 void HttpMessageParser::finish()
 {
-    http_parser_execute(&m_parser, &HttpParserCallbacks::settings(), nullptr, 0);
-    if (m_state == State::Incomplete)
+    ErrorCode ec = http::error::partial_message;
+    m_readers->apply([&](auto &reader) {
+        if (reader.got_some())
+            reader.put_eof(ec);
+    });
+    if (ec)
         m_state = State::Malformed;
+    else
+        messageEnded();
 }
 
 HttpHeaders &HttpMessageParser::headers()
@@ -201,13 +268,4 @@
         m_state = State::HeadTooLarge;
 }
 
-bool HttpMessageParser::countHeadBytes(std::size_t n)
-{
-    m_headBytes += n;
-    if (m_headBytes <= m_limits.headBytes)
-        return true;
-    m_state = State::HeadTooLarge;
-    return false;
-}
-
 } // namespace lycheebay
--- a/src/http/httpmessageparser.h
+++ b/src/http/httpmessageparser.h
@@ -2,9 +2,9 @@
 
 #include "outcomes/httpmessage.h"
 
-#include <http_parser.h>
-
 #include <cstddef>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace lycheebay {
@@ -21,7 +21,8 @@
     auto operator<=>(const HttpMessageLimits &) const = default;
 };
 
-/// Parses one HTTP/1.1 message after another from the bytes of a connection.
+/// Parses one HTTP/1.1 message after another from the bytes of a connection, by the grammar of
+/// RFC 9112. A message whose syntax or framing leaves doubt is Malformed.
 /// Not thread-safe: one parser per connection.
 class HttpMessageParser
 {
@@ -30,6 +31,7 @@
     enum class State { Incomplete, Complete, Malformed, HeadTooLarge, BodyTooLarge };
 
     explicit HttpMessageParser(Kind kind, const HttpMessageLimits &limits = {});
+    ~HttpMessageParser();
     HttpMessageParser(const HttpMessageParser &) = delete;
     HttpMessageParser &operator=(const HttpMessageParser &) = delete;
 
@@ -59,25 +61,32 @@
     HttpResponse takeResponse() { return std::move(m_response); }
 
 private:
-    friend struct HttpParserCallbacks;
+    template <bool isRequest>
+    class MessageReader;
+    struct Readers;
 
     HttpHeaders &headers();
     std::string &body();
-    bool countHeadBytes(std::size_t n);
+    void startMessage();
+    /// Parses \a input as far as it holds whole elements of the syntax and returns how many bytes
+    /// those are.
+    std::size_t parse(std::string_view input);
+    void messageEnded();
     /// Counts the bytes consumed since \a bodyBytes of the body were known.
     void countFramingBytes(std::size_t consumed, std::size_t bodyBytes);
 
     const Kind m_kind;
     const HttpMessageLimits m_limits;
-    http_parser m_parser{};
+    const std::unique_ptr<Readers> m_readers;
     State m_state = State::Incomplete;
     bool m_started = false;
     bool m_headComplete = false;
     bool m_keepAlive = false;
     bool m_bodyless = false;
-    bool m_inHeaderValue = false;
     std::size_t m_headBytes = 0;
     std::size_t m_framingBytes = 0;
+    /// Consumed bytes that are the start of an element of the syntax, such as a header field.
+    std::string m_pending;
     HttpRequest m_request;
     HttpResponse m_response;
 };
--- a/src/http/httpserialization.cpp
+++ b/src/http/httpserialization.cpp
@@ -1,7 +1,7 @@
 #include "http/httpserialization.h"
 
+#include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
-#include <http_parser.h>
 
 #include <iterator>
 
@@ -39,7 +39,9 @@
 
 std::string serializeResponse(const HttpResponse &response, const HttpRequest &request, bool closes)
 {
-    const char *reason = http_status_str(static_cast<http_status>(response.status));
+    namespace http = boost::beast::http;
+    const auto code = static_cast<unsigned>(response.status);
+    const std::string reason(http::obsolete_reason(http::int_to_status(code)));
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, reason);
     appendHeaders(text, response.headers);
     if (!hasNoBody(response.status))
--- a/src/http/tests/httpmessageparsertest.cpp
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -23,6 +23,8 @@
 
 namespace lycheebay {
 
+using namespace std::string_literals;
+
 using Parser = HttpMessageParser;
 
 class HttpMessageParserTest : public CppUnit::TestFixture
@@ -35,6 +37,10 @@
     CPPUNIT_TEST(rejectsBadMessages);
     CPPUNIT_TEST(rejectsStatusOutsideTheRange);
     CPPUNIT_TEST(rejectsUnclearFraming);
+    CPPUNIT_TEST(rejectsMalformedHeads);
+    CPPUNIT_TEST(rejectsMalformedChunks);
+    CPPUNIT_TEST(readsAResponseInPieces);
+    CPPUNIT_TEST(ignoresEmptyLinesBeforeARequest);
     CPPUNIT_TEST(boundsHeadAndBody);
     CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +182,113 @@
                 stateAfter("HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n" + chunks));
     }
 
+    // Guards against a line being passed on that its receiver reads in another way, or a body
+    // that is cut at the wrong place.
+    void rejectsMalformedHeads()
+    {
+        const std::string end = "Content-Length: 2\r\n\r\nok";
+        for (const std::string &it : {
+                     std::string("HTTP/3.0 200 OK\r\n"),
+                     std::string("HTTP/2.0 200 OK\r\n"),
+                     std::string("HTTP/0.9 200 OK\r\n"),
+                     std::string("HTTP/11 200 OK\r\n"),
+                     std::string("http/1.1 200 OK\r\n"),
+                     std::string("HTTP/1.1 0200 OK\r\n"),
+                     std::string("HTTP/1.1  200 OK\r\n"),
+                     std::string("HTTP/1.1 200 O\x01K\r\n"),
+                     std::string("\r\nHTTP/1.1 200 OK\r\n"),
+                     std::string("HTTP/1.1 101 Switching Protocols\r\n"),
+             })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed, stateAfter(it + end));
+        for (const std::string &it : {
+                     "X Y: z"s,
+                     "X : z"s,
+                     "Content-Length : 2"s,
+                     " X: z"s,
+                     "X\tY: z"s,
+                     "X\x01: z"s,
+                     "X\x7f: z"s,
+                     "X\0Y: z"s,
+                     "X\xe9: z"s,
+                     ": z"s,
+                     "X"s,
+                     "X(y): z"s,
+                     "X: a\x01"s,
+                     "X: a\0"s,
+                     "X: a\x7f"s,
+                     "X: a\rb"s,
+             }) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed,
+                                         stateAfter("HTTP/1.1 200 OK\r\n" + it + "\r\n" + end));
+            Parser request(Parser::Kind::Request);
+            request.feed("POST / HTTP/1.1\r\n" + it + "\r\n" + end);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed, request.state());
+        }
+        for (const std::string &it : { "X:"s, "X:  a b\t "s, "x-Y_z.1!: \xe9"s })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Complete,
+                                         stateAfter("HTTP/1.1 200 OK\r\n" + it + "\r\n" + end));
+    }
+
+    void rejectsMalformedChunks()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string end = "0\r\n\r\n";
+        for (const std::string &it : {
+                     "4\r\ndataXX" + end,
+                     "4\r\ndata\n" + end,
+                     "4\r\ndata" + end,
+                     "4\r\ndata!\r\n" + end,
+                     "0x4\r\ndata\r\n" + end,
+                     "+4\r\ndata\r\n" + end,
+                     "-4\r\ndata\r\n" + end,
+                     "4 4\r\ndata\r\n" + end,
+                     "\r\ndata\r\n" + end,
+                     "10000000000000004\r\ndata\r\n" + end,
+                     "4\r\ndata\r\n0\r\nX Y: z\r\n\r\n"s,
+                     "4\r\ndata\r\n0\r\nContent-Length: 4\r\n\r\n"s,
+                     "4\r\ndata\r\n"s,
+                     "4\r\ndata\r\n0\r\n"s,
+             })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed, stateAfter(head + it));
+        for (const std::string &it : { "04;a;b=\"c\"\r\ndata\r\n00\r\nX: y\r\n\r\n"s })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Complete, stateAfter(head + it));
+    }
+
+    // Guards against bytes that are lost or read twice where a piece ends within a line.
+    void readsAResponseInPieces()
+    {
+        const std::string text = "HTTP/1.1 100 Continue\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\n"
+                                 "X-One: 1\r\nX-Two: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-Three: 3\r\n\r\n";
+        for (std::size_t length = 1; length <= text.size(); ++length) {
+            Parser parser(Parser::Kind::Response);
+            std::string_view rest = text;
+            while (!rest.empty()) {
+                CPPUNIT_ASSERT_EQUAL(Parser::State::Incomplete, parser.state());
+                const std::string_view piece = rest.substr(0, length);
+                CPPUNIT_ASSERT_EQUAL(piece.size(), parser.feed(piece));
+                rest.remove_prefix(piece.size());
+            }
+            CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+            const HttpResponse expected{ 200,
+                                         { { "X-One", "1" },
+                                           { "X-Two", "2" },
+                                           { "Transfer-Encoding", "chunked" },
+                                           { "X-Three", "3" } },
+                                         "abc0123456789" };
+            CPPUNIT_ASSERT(expected == parser.takeResponse());
+        }
+    }
+
+    void ignoresEmptyLinesBeforeARequest()
+    {
+        const std::string text = "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+        Parser parser(Parser::Kind::Request);
+        CPPUNIT_ASSERT_EQUAL(text.size(), parser.feed(text));
+        CPPUNIT_ASSERT_EQUAL(Parser::State::Complete, parser.state());
+        CPPUNIT_ASSERT_EQUAL(std::string("/a"), parser.takeRequest().target);
+    }
+
     void boundsHeadAndBody()
     {
         const HttpMessageLimits limits{ 64, 8 };
