Do not complete a response by the end of a connection that failed

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete 200. Cause: the system reports a reset once to a socket. The write of the upload got it, and its handler dropped the error; the read that follows sees the end of the connection, which completes a response that has no length. Change: the end of the connection completes a response only if the system has taken over the whole request without an error. An end without a reset while the upload goes on proves nothing either: a peer that gave up looks the same (endDuringAnUploadIsNotTheEndOfTheAnswer, red before). A response with a length, and one without to a request that was sent, were handled before; the tests keep them.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -119,10 +119,13 @@
 void HttpClientConnection::write()
 {
     m_writing = true;
+    m_sentWhole = false;
     const IntrusivePtr<HttpClientConnection> self(this);
-    asio::async_write(m_socket, asio::buffer(m_output), [self](asio::error_code, std::size_t) {
-        // A failed write shows at the reading side, which also takes an answer that came before.
+    asio::async_write(m_socket, asio::buffer(m_output), [self](asio::error_code ec, std::size_t) {
+        // After a failed write the reading side ends the exchange; it first takes an answer that
+        // came before.
         self->m_writing = false;
+        self->m_sentWhole = !ec;
     });
     read();
 }
@@ -149,7 +152,9 @@
         return;
     }
     if (ec) {
-        if (ec == asio::error::eof && m_parser.isHeadComplete())
+        // The system reports a reset once. If a write got it, the read sees the end of the
+        // connection, which then does not prove that the response is complete.
+        if (ec == asio::error::eof && m_sentWhole && m_parser.isHeadComplete())
             m_parser.finish();
         if (m_parser.state() == HttpMessageParser::State::Complete)
             onResponse();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -97,6 +97,8 @@
     bool m_refused = false;
     bool m_reading = false;
     bool m_writing = false;
+    /// The system has taken over all bytes of the request.
+    bool m_sentWhole = false;
     bool m_closed = false;
 };
 
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -3,6 +3,7 @@
 #include "http/httplistener.h"
 #include "http/httpserialization.h"
 #include "http/tests/loopfixture.h"
+#include "http/tests/resettingserver.h"
 
 #include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +19,10 @@
     CPPUNIT_TEST(responseOfAnotherRequestIsDropped);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(answerThatEndsEarlyIsNotTakenForComplete);
+    CPPUNIT_TEST(resetDuringAnUploadIsNotTheEndOfTheAnswer);
+    CPPUNIT_TEST(endDuringAnUploadIsNotTheEndOfTheAnswer);
+    CPPUNIT_TEST(answerWithALengthIsCompleteDuringAnUpload);
+    CPPUNIT_TEST(answerWithoutLengthIsCompleteAfterAnUpload);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(requestOfACallerThatHasLeftIsDropped);
     CPPUNIT_TEST(droppedRequestEndsItsConnection);
@@ -68,6 +73,18 @@
                                              ClientConnectionTimeouts());
     }
 
+    /// Returns the result of an upload that is larger than the buffers of the network.
+    TransferResult upload(const Address &address)
+    {
+        const std::string body(20UL << 20U, 'x');
+        std::optional<TransferResult> result;
+        connect(address)->send(serializeRequest({ "POST", "/", { { "Host", "test" } }, body }),
+                               false, nullptr,
+                               [&](TransferResult it, const HttpResponse &) { result = it; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return result.has_value(); }));
+        return *result;
+    }
+
     static std::string get(const std::string &path)
     {
         return serializeRequest({ "GET", path, { { "Host", "test" } }, {} });
@@ -202,6 +219,48 @@
         }
     }
 
+    // Guards against a part of an answer being taken for all of it: the system tells a reset once,
+    // and if a write gets it, the next read sees the end of the connection.
+    void resetDuringAnUploadIsNotTheEndOfTheAnswer()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+        for (const std::string &answer : { head + "part", head, std::string() }) {
+            for (const int ms : { 20, 150 }) {
+                ResettingServer server(m_loop, answer, std::chrono::milliseconds(ms));
+                CPPUNIT_ASSERT(upload(server.address()) == TransferResult::Lost);
+            }
+        }
+    }
+
+    void endDuringAnUploadIsNotTheEndOfTheAnswer()
+    {
+        CPPUNIT_ASSERT(upload(serveRaw("HTTP/1.1 200 OK\r\n\r\npart", true))
+                       == TransferResult::Lost);
+    }
+
+    void answerWithALengthIsCompleteDuringAnUpload()
+    {
+        const std::string answer = "HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno";
+        ResettingServer server(m_loop, answer, std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(upload(server.address()) == TransferResult::Answered);
+    }
+
+    // Guards against an answer being refused only since the end of its connection frames it.
+    void answerWithoutLengthIsCompleteAfterAnUpload()
+    {
+        std::optional<TransferResult> result;
+        HttpResponse response;
+        connect(serveRaw("HTTP/1.1 200 OK\r\n\r\nwhole", true))
+                ->send(serializeRequest({ "POST", "/", { { "Host", "test" } }, "small" }), false,
+                       nullptr, [&](TransferResult it, HttpResponse received) {
+                           result = it;
+                           response = std::move(received);
+                       });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(*result == TransferResult::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+    }
+
     void callerThatLeavesIsNoticed()
     {
         bool asked = false;
