Bound the memory of all responses that are being read together

Operators saw: servers in trouble sent bytes that were no answer, without end; the machine that had called them kept them all and ran out of memory, and the requests of its other callers ended with it. Observed here: 313 MB with chunks of four bytes and 197 MB with a body, 150 requests at once, on an instance that may take 260. Cause: each response is bounded, to 2 MB of body and 128 KB beside it, but all together are not. A string that grows takes twice as much; the memory of 32,000 short fields is 30 times their bytes and counted as these; and a connection that was closed kept what it had read, since an empty string that is moved to a long one leaves it its memory. Change: the connections of an event loop share ResponseMemory. Each tells what it holds; above the bound the one that holds the most ends as Malformed, so that ordinary responses go on. A connection that closes frees what it read. The bound is a fifth of the memory of the instance.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,7 @@
                  [this](const IntrusivePtr<HttpExchange> &exchange) { handle(exchange); })
     , m_startedAt(clock.now())
 {
+    asio::use_service<ResponseMemory>(context).setLimit(m_settings.maxResponseMemory);
     m_blackboard.configuration.subscribe(
             [this](const IntrusivePtr<const GatewayConfiguration> &it) {
                 configurationChanged(it);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,8 @@
     Duration gracePeriod = std::chrono::seconds(6);
     /// Connections of callers that are served; further callers are refused.
     std::size_t maxCallerConnections = 2000;
+    /// Bytes that responses which are not complete may take together; see ResponseMemory.
+    std::size_t maxResponseMemory = 64UL << 20U;
     /// Log lines for request decisions per second; lines above the limit are only counted.
     int maxLogLinesPerSecond = 300;
 };
--- a/src/gateway/gatewayoptions.cpp
+++ b/src/gateway/gatewayoptions.cpp
@@ -74,6 +74,9 @@
 constexpr std::size_t kBytesPerConnection = 16UL << 10U;
 // Part of the memory that connections of callers may take.
 constexpr std::size_t kMemoryDivisor = 3;
+// Part of the memory that responses may take while they are read. A response that grows takes
+// twice as much for a moment, and complete ones wait for their callers.
+constexpr std::size_t kResponseMemoryDivisor = 5;
 constexpr std::size_t kMinConnections = 64;
 
 } // namespace
@@ -87,6 +90,11 @@
     return std::max(kMinConnections, std::min(byDescriptors, byMemory));
 }
 
+std::size_t responseMemoryLimit(std::size_t memoryBytes)
+{
+    return memoryBytes / kResponseMemoryDivisor;
+}
+
 GatewayOptionsRequest readGatewayOptions(const std::string &program,
                                          const std::vector<std::string> &arguments,
                                          const EnvironmentLookup &environment)
--- a/src/gateway/gatewayoptions.h
+++ b/src/gateway/gatewayoptions.h
@@ -30,6 +30,10 @@
 /// callers that are refused. Thread-safe.
 std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes);
 
+/// Returns how many bytes responses that are not complete may take together, on an instance with
+/// this memory. Thread-safe.
+std::size_t responseMemoryLimit(std::size_t memoryBytes);
+
 /// Reads the options of the daemon \a program as readSettingValues() does. Never throws.
 /// Thread-safe if \a environment is.
 GatewayOptionsRequest readGatewayOptions(const std::string &program,
--- a/src/gateway/tests/gatewayoptionstest.cpp
+++ b/src/gateway/tests/gatewayoptionstest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(flagsTakePrecedenceOverTheEnvironment);
     CPPUNIT_TEST(errorsNameTheInvalidSetting);
     CPPUNIT_TEST(callerConnectionsFollowTheResources);
+    CPPUNIT_TEST(responseMemoryFollowsTheResources);
     CPPUNIT_TEST_SUITE_END();
 
     static GatewayOptionsRequest read(std::vector<std::string> arguments,
@@ -77,6 +78,14 @@
         CPPUNIT_ASSERT(callerConnectionLimit(100'000, 16 * kMegabyte) * 16 * 1024 < 8 * kMegabyte);
         CPPUNIT_ASSERT(callerConnectionLimit(300, kMegabyte) > 0);
     }
+
+    // Guards against a bound that leaves no room for the rest of the process, or for one response.
+    void responseMemoryFollowsTheResources()
+    {
+        constexpr std::size_t kMegabyte = 1UL << 20U;
+        CPPUNIT_ASSERT(responseMemoryLimit(260 * kMegabyte) < 260 * kMegabyte / 4);
+        CPPUNIT_ASSERT(responseMemoryLimit(64 * kMegabyte) > 8 * kMegabyte);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayOptionsTest);
--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -11,6 +11,8 @@
 #include <asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
 #include <map>
 
 namespace lycheebay {
@@ -88,6 +90,7 @@
     CPPUNIT_TEST(partOfAnAnswerToAnUploadIsNotPassedOn);
     CPPUNIT_TEST(endlessAnswerOfAnAtMostOnceRequestIsUnknown);
     CPPUNIT_TEST(endlessAnswersLeaveLookupsToOtherTargets);
+    CPPUNIT_TEST(manyEndlessAnswersAreBoundedTogether);
     CPPUNIT_TEST(drippedAnswerEndsWithTheRouteTimeout);
     CPPUNIT_TEST(endlessProbeAnswerTakesTheTargetOut);
     CPPUNIT_TEST(shutdownCompletesRequestsThenExits);
@@ -694,6 +697,38 @@
         CPPUNIT_ASSERT_EQUAL(6, answers.runs);
     }
 
+    // Guards against an instance that runs out of memory, with the requests of all its callers,
+    // because a service is in trouble.
+    void manyEndlessAnswersAreBoundedTogether()
+    {
+        publishConfiguration(15s, 15s);
+        for (int i = 0; i < 40; ++i) {
+            addEndlessTarget("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                             "4\r\nBAD!\r\n");
+        }
+        const auto heapBytes = [] {
+            const struct mallinfo2 info = mallinfo2();
+            return info.uordblks + info.hblkhd;
+        };
+        const std::size_t heapAtStart = heapBytes();
+        std::size_t maxHeapBytes = heapAtStart;
+        std::vector<std::shared_ptr<Answer>> answers;
+        for (int i = 0; i < 150; ++i)
+            answers.push_back(sendRequest("/order/" + std::to_string(i), "POST"));
+        CPPUNIT_ASSERT(m_loop->runUntil([&] {
+            maxHeapBytes = std::max(maxHeapBytes, heapBytes());
+            return std::all_of(answers.begin(), answers.end(),
+                               [](const auto &it) { return it->received; });
+        }));
+        for (const auto &it : answers)
+            CPPUNIT_ASSERT(it->response.status >= 502 && it->response.status <= 504);
+        const std::size_t added = maxHeapBytes - heapAtStart;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(added), added < 96UL << 20U);
+        m_targets.clear();
+        addTarget(Behaviour::Answer);
+        CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/order/a", "POST")).status);
+    }
+
     void drippedAnswerEndsWithTheRouteTimeout()
     {
         publishConfiguration(500ms);
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -53,6 +53,8 @@
     , m_address(address)
     , m_timeouts(timeouts)
     , m_parser(HttpMessageParser::Kind::Response, kResponseLimits)
+    , m_memory(asio::use_service<ResponseMemory>(context),
+               [this] { end(TransferResult::Malformed); })
 {}
 
 void HttpClientConnection::send(std::string bytes, bool isHead, Filter filter, Done done)
@@ -76,6 +78,8 @@
     m_closed = true;
     asio::error_code ec;
     m_socket.close(ec);
+    m_parser.restart();
+    m_memory.resize(0);
 }
 
 bool HttpClientConnection::isReusable(TimePoint now, Duration maxIdle) const
@@ -166,8 +170,10 @@
     std::string_view bytes(m_buffer.data(), n);
     while (!bytes.empty() && isBusy()) {
         bytes.remove_prefix(m_parser.feed(bytes));
-        if (m_parser.state() == HttpMessageParser::State::Incomplete)
+        if (m_parser.state() == HttpMessageParser::State::Incomplete) {
+            m_memory.resize(m_parser.heldBytes());
             break;
+        }
         if (m_parser.state() != HttpMessageParser::State::Complete) {
             end(TransferResult::Malformed);
             return;
@@ -187,6 +193,7 @@
     const bool hasExtraBytes = m_closed;
     const bool keepAlive = m_parser.isKeepAlive();
     HttpResponse response = m_parser.takeResponse();
+    m_memory.resize(0);
     if (m_filter && !m_filter(response)) {
         // A late second answer to an earlier request. The right one may follow.
         if (++m_droppedResponses > kMaxDroppedResponses) {
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -5,6 +5,7 @@
 #include "base/itimerservice.h"
 #include "estate/address.h"
 #include "http/httpmessageparser.h"
+#include "http/responsememory.h"
 
 #include <asio/ip/tcp.hpp>
 
@@ -85,6 +86,7 @@
     const ClientConnectionTimeouts m_timeouts;
     TimerSubscription m_connectTimer;
     HttpMessageParser m_parser;
+    ResponseMemory::Share m_memory;
     std::array<char, 16384> m_buffer{};
     std::string m_output;
     Filter m_filter;
--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -1,5 +1,7 @@
 #include "http/httpmessageparser.h"
 
+#include "base/releasememory.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
@@ -156,15 +158,15 @@
     m_bodyless = bodyless;
     m_headBytes = 0;
     m_framingBytes = 0;
-    m_pending.clear();
+    releaseMemory(m_pending);
     startMessage();
 }
 
 void HttpMessageParser::startMessage()
 {
     m_headComplete = false;
-    m_request = HttpRequest();
-    m_response = HttpResponse();
+    releaseMemory(m_request);
+    releaseMemory(m_response);
     if (m_kind == Kind::Request)
         m_readers->request.emplace(*this);
     else
@@ -185,7 +187,7 @@
     std::size_t consumed = bytes.size();
     if (m_state != State::Incomplete) {
         consumed = parsed - std::min(parsed, pendingBytes);
-        m_pending.clear();
+        releaseMemory(m_pending);
     } else if (pendingBytes > 0) {
         m_pending.erase(0, parsed);
     } else {
@@ -250,6 +252,15 @@
         messageEnded();
 }
 
+std::size_t HttpMessageParser::heldBytes() const
+{
+    const bool isRequest = m_kind == Kind::Request;
+    const HttpHeaders &fields = isRequest ? m_request.headers : m_response.headers;
+    const std::string &content = isRequest ? m_request.body : m_response.body;
+    return fields.capacity() * sizeof(HttpHeader) + m_headBytes + content.capacity()
+           + m_pending.capacity();
+}
+
 HttpHeaders &HttpMessageParser::headers()
 {
     return m_kind == Kind::Request ? m_request.headers : m_response.headers;
--- a/src/http/httpmessageparser.h
+++ b/src/http/httpmessageparser.h
@@ -53,6 +53,9 @@
     /// True if the connection can carry another message. Precondition: state() is Complete.
     bool isKeepAlive() const { return m_keepAlive; }
 
+    /// Memory of the current message, in bytes.
+    std::size_t heldBytes() const;
+
     /// Head and body of the request as far as they were read.
     const HttpRequest &request() const { return m_request; }
     /// Precondition: the parser reads requests and state() is Complete.
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -5,7 +5,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
+#include <algorithm>
 #include <optional>
+#include <vector>
 
 namespace lycheebay {
 
@@ -29,21 +33,23 @@
     CPPUNIT_TEST(endlessBodyWithLength);
     CPPUNIT_TEST(endlessResponsesToOtherRequests);
     CPPUNIT_TEST(smallChunksWithinTheBoundAreAccepted);
+    CPPUNIT_TEST(manyEndlessBodiesAtOnceAreBoundedTogether);
+    CPPUNIT_TEST(manyEndlessHeadsAtOnceAreBoundedTogether);
     CPPUNIT_TEST_SUITE_END();
 
     // Bytes that the server may get rid of before the connection is closed: the bound for a body
     // and what the kernel buffers.
     static constexpr std::size_t kMaxSentBytes = 16UL << 20U;
 
+    using HttpConnection = IntrusivePtr<HttpClientConnection>;
+
     LoopFixture m_loop;
 
     void assertEnds(const std::string &start, const std::string &repeated,
                     const HttpClientConnection::Filter &filter = nullptr)
     {
         EndlessServer server(m_loop, start, repeated);
-        const auto connection =
-                makeRef<HttpClientConnection>(m_loop.context, m_loop.timers, m_loop.clock,
-                                              server.address(), ClientConnectionTimeouts());
+        const HttpConnection connection = connect(server.address());
         std::optional<TransferResult> result;
         connection->send(serializeRequest({ "GET", "/", { { "Host", "test" } }, {} }), false,
                          filter, [&](TransferResult it, const HttpResponse &) { result = it; });
@@ -55,6 +61,59 @@
         CPPUNIT_ASSERT(m_loop.runUntil([&] { return server.isClosedByPeer(); }));
     }
 
+    static std::size_t heapBytes()
+    {
+        const struct mallinfo2 info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    }
+
+    HttpConnection connect(const Address &address)
+    {
+        return makeRef<HttpClientConnection>(m_loop.context, m_loop.timers, m_loop.clock, address,
+                                             ClientConnectionTimeouts());
+    }
+
+    /// Reads many endless responses at once, and right ones meanwhile.
+    void assertBoundedTogether(const std::string &start, const std::string &repeated)
+    {
+        constexpr int kConnections = 150;
+        // The bound for all responses, and what else this test and its server hold.
+        constexpr std::size_t kMaxHeapBytes = 96UL << 20U;
+        EndlessServer endless(m_loop, start, repeated);
+        EndlessServer sound(m_loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "");
+        const std::string request = serializeRequest({ "GET", "/", { { "Host", "test" } }, {} });
+        const std::size_t heapAtStart = heapBytes();
+        std::vector<HttpConnection> connections;
+        int ended = 0;
+        for (int i = 0; i < kConnections; ++i) {
+            connections.push_back(connect(endless.address()));
+            connections.back()->send(request, false, nullptr,
+                                     [&](TransferResult result, const HttpResponse &) {
+                                         CPPUNIT_ASSERT(result == TransferResult::Malformed);
+                                         ++ended;
+                                     });
+        }
+        int answered = 0;
+        std::size_t maxHeapBytes = heapAtStart;
+        CPPUNIT_ASSERT(m_loop.runUntil([&] {
+            maxHeapBytes = std::max(maxHeapBytes, heapBytes());
+            if (static_cast<int>(connections.size()) == kConnections + answered) {
+                connections.push_back(connect(sound.address()));
+                connections.back()->send(request, false, nullptr,
+                                         [&](TransferResult result, const HttpResponse &) {
+                                             CPPUNIT_ASSERT(result == TransferResult::Answered);
+                                             ++answered;
+                                         });
+            }
+            return ended == kConnections;
+        }));
+        for (const HttpConnection &it : connections)
+            it->close();
+        const std::size_t added = maxHeapBytes - heapAtStart;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(added), added < kMaxHeapBytes);
+        CPPUNIT_ASSERT(answered > 0);
+    }
+
 public:
     void endlessStatusLine() { assertEnds("HTTP/1.1 200 ", std::string(1000, 'x')); }
 
@@ -109,6 +168,19 @@
                    [](const HttpResponse &) { return false; });
     }
 
+    void manyEndlessBodiesAtOnceAreBoundedTogether()
+    {
+        assertBoundedTogether("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                              "4\r\nBAD!\r\n");
+        assertBoundedTogether("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'));
+    }
+
+    // The memory of a field is much more than the bytes of a short one.
+    void manyEndlessHeadsAtOnceAreBoundedTogether()
+    {
+        assertBoundedTogether("HTTP/1.1 200 OK\r\n", "a:\r\n");
+    }
+
     // Fails if the bound for framing rejects a response that is only sent in small pieces.
     void smallChunksWithinTheBoundAreAccepted()
     {
@@ -117,9 +189,7 @@
         for (std::size_t i = 0; i < kChunks; ++i)
             response += "1\r\na\r\n";
         EndlessServer server(m_loop, response + "0\r\n\r\n", "");
-        const auto connection =
-                makeRef<HttpClientConnection>(m_loop.context, m_loop.timers, m_loop.clock,
-                                              server.address(), ClientConnectionTimeouts());
+        const HttpConnection connection = connect(server.address());
         std::size_t length = 0;
         connection->send(serializeRequest({ "GET", "/", { { "Host", "test" } }, {} }), false,
                          nullptr,
