Free the bytes of a message when they were sent

Operators saw: four uploads of 20 MB whose answers were reset left 177 to 227 MB that were not given back within 3 s. Cause: a client connection kept the request that it had sent, and a caller's connection the response, until the next one came or the connection went. Evidence: idleConnectionsHoldNoMessages failed before: eight connections that had carried 1 MB each way held more than 1 MB while they were idle. Change: both free the bytes when the write ends. Requests of callers are still bounded each, not together.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -1,5 +1,7 @@
 #include "http/httpclientconnection.h"
 
+#include "base/releasememory.h"
+
 #include <asio/ip/address.hpp>
 #include <asio/write.hpp>
 
@@ -130,6 +132,7 @@
         // came before.
         self->m_writing = false;
         self->m_sentWhole = !ec;
+        releaseMemory(self->m_output);
     });
     read();
 }
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/httpsession.h"
 
+#include "base/releasememory.h"
 #include "http/httpserialization.h"
 #include "http/httpstatus.h"
 
@@ -181,6 +182,7 @@
     asio::async_write(
             m_socket, asio::buffer(m_output), [self, closes](asio::error_code ec, std::size_t) {
                 self->m_writing = false;
+                releaseMemory(self->m_output);
                 if (!self->m_listener)
                     return;
                 if (ec || closes) {
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -8,6 +8,8 @@
 #include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
 namespace lycheebay {
 
 class HttpConnectionTest : public CppUnit::TestFixture
@@ -23,6 +25,7 @@
     CPPUNIT_TEST(endDuringAnUploadIsNotTheEndOfTheAnswer);
     CPPUNIT_TEST(answerWithALengthIsCompleteDuringAnUpload);
     CPPUNIT_TEST(answerWithoutLengthIsCompleteAfterAnUpload);
+    CPPUNIT_TEST(idleConnectionsHoldNoMessages);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(requestOfACallerThatHasLeftIsDropped);
     CPPUNIT_TEST(droppedRequestEndsItsConnection);
@@ -261,6 +264,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
     }
 
+    // Guards against idle connections, of which there may be thousands, that keep the memory of
+    // their last request or response.
+    void idleConnectionsHoldNoMessages()
+    {
+        constexpr std::size_t kBodyBytes = 1UL << 20U;
+        constexpr int kConnections = 8;
+        const auto heapBytes = [] {
+            const struct mallinfo2 info = mallinfo2();
+            return info.uordblks + info.hblkhd;
+        };
+        const std::string body(kBodyBytes, 'x');
+        const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
+            it->respond(jsonResponse(200, it->request().body));
+        });
+        const std::size_t heapAtStart = heapBytes();
+        std::vector<Connection> connections;
+        int answered = 0;
+        for (int i = 0; i < kConnections; ++i) {
+            connections.push_back(connect(address));
+            connections.back()->send(
+                    serializeRequest({ "POST", "/", { { "Host", "test" } }, body }), false, nullptr,
+                    [&](TransferResult result, const HttpResponse &response) {
+                        CPPUNIT_ASSERT(result == TransferResult::Answered);
+                        CPPUNIT_ASSERT_EQUAL(kBodyBytes, response.body.size());
+                        ++answered;
+                    });
+        }
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return answered == kConnections; }));
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return heapBytes() < heapAtStart + kBodyBytes; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ kConnections }, m_listener->connectionCount());
+    }
+
     void callerThatLeavesIsNoticed()
     {
         bool asked = false;
