Read the answers of targets with one parser

Callers saw: lycheebayd passed on, as 200, answers with the status 600 or 999, with a blank, a control byte or a byte over 127 in the name of a field, with no name or no colon, with control bytes in a value, in the coding gzip, and with chunk sizes that have a sign or 0x, or data that nothing separates from what follows. Cause: the target client read answers with httplib's code, which takes lines apart loosely and skips those that it cannot. Change: HttpMessageParser reads them, as in the gateway. BlockingConnection, from the target connection, sends a request and reads the response within a deadline; it needs no httplib, nor does its stream. The modules' order lets transport use http. Statuses below 100, HTTP/3.0, resets, ends without a length and two lengths were handled before; the tests keep them. Requests no longer bear httplib's Accept and User-Agent.

--- a/src/transport/cancellation.cpp
+++ b/src/base/cancellation.cpp
@@ -1,4 +1,4 @@
-#include "transport/cancellation.h"
+#include "base/cancellation.h"
 
 #include <sys/eventfd.h>
 #include <unistd.h>
--- a/src/transport/internal/deadlinestream.cpp
+++ b/src/http/internal/deadlinestream.cpp
@@ -1,4 +1,4 @@
-#include "transport/internal/deadlinestream.h"
+#include "http/internal/deadlinestream.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 
 namespace lycheebay {
 
@@ -122,23 +121,4 @@
     return true;
 }
 
-ssize_t DeadlineStream::read(char *ptr, std::size_t size)
-{
-    if (!flush())
-        return -1;
-    if (buffered().empty() && !fill())
-        return m_state == StreamState::EndOfStream ? 0 : -1;
-    const std::size_t n = std::min(size, buffered().size());
-    std::memcpy(ptr, buffered().data(), n);
-    consume(n);
-    return static_cast<ssize_t>(n);
-}
-
-ssize_t DeadlineStream::write(const char *ptr, std::size_t size)
-{
-    // Sent by the next read() or flush(), so that head and body are sent together.
-    m_output.append(ptr, size);
-    return static_cast<ssize_t>(size);
-}
-
 } // namespace lycheebay
--- a/src/transport/internal/deadlinestream.h
+++ b/src/http/internal/deadlinestream.h
@@ -1,9 +1,7 @@
 #pragma once
 
+#include "base/cancellation.h"
 #include "base/iclock.h"
-#include "transport/cancellation.h"
-
-#include <httplib.h>
 
 #include <string>
 #include <string_view>
@@ -19,11 +17,10 @@
     TooLarge     ///< the read limit was reached
 };
 
-/// Buffered socket stream with one deadline for all calls together, instead of httplib's timeout
-/// per call. Received bytes that have not been read stay visible in buffered(), so that the owner
-/// can detect surplus input. Once state() is not Open, nothing more is sent or received.
-/// Not thread-safe.
-class DeadlineStream final : public httplib::Stream
+/// Buffered socket stream with one deadline for all calls together. Received bytes that have not
+/// been read stay visible in buffered(), so that the owner can detect surplus input. Once state()
+/// is not Open, nothing more is sent or received. Not thread-safe.
+class DeadlineStream
 {
 public:
     /// Does not take ownership of \a socket.
@@ -40,6 +37,8 @@
     std::string_view buffered() const { return std::string_view(m_input).substr(m_inputPosition); }
     /// Removes bytes from the front of buffered().
     void consume(std::size_t bytes);
+    /// Keeps \a bytes until flush(), so that head and body are sent together.
+    void write(std::string_view bytes) { m_output.append(bytes); }
     /// Sends the data passed to write().
     bool flush();
 
@@ -48,15 +47,6 @@
     bool hasSent() const { return m_hasSent; }
     bool hasReceived() const { return m_hasReceived; }
 
-    bool is_readable() const override { return m_state == StreamState::Open; }
-    bool is_writable() const override { return m_state == StreamState::Open; }
-    ssize_t read(char *ptr, std::size_t size) override;
-    ssize_t write(const char *ptr, std::size_t size) override;
-    using Stream::write;
-    void get_remote_ip_and_port(std::string &, int &) const override {}
-    void get_local_ip_and_port(std::string &, int &) const override {}
-    socket_t socket() const override { return m_socket; }
-
 private:
     bool wait(short events);
     bool fail(StreamState state);
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "http/internal/deadlinestream.h"
 #include "transport/httpserver.h"
-#include "transport/internal/deadlinestream.h"
 #include "transport/internal/requesthead.h"
 
 namespace lycheebay {
--- a/src/transport/internal/targetconnection.h
+++ b/src/transport/internal/targetconnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "transport/internal/deadlinestream.h"
+#include "http/internal/blockingconnection.h"
 #include "transport/targetclient.h"
 
 namespace lycheebay {
@@ -10,15 +10,17 @@
 {
 public:
     TargetConnection() = default;
-    ~TargetConnection();
     TargetConnection(const TargetConnection &) = delete;
     TargetConnection &operator=(const TargetConnection &) = delete;
 
     /// Returns Open, or why the connection could not be established.
     StreamState connect(const Address &address, TimePoint deadline,
-                        const Cancellation *cancellation);
+                        const Cancellation *cancellation)
+    {
+        return m_connection.connect(address, deadline, cancellation);
+    }
     /// Returns whether the connection is open and no bytes arrived since the last exchange.
-    bool isReusable() const;
+    bool isReusable() const { return m_connection.isReusable(); }
 
     /// Sends \a request and receives the response. Fills \a exchangeResult except for its latency.
     /// Returns whether the connection may be reused. Precondition: connected.
@@ -30,7 +32,7 @@
     void setIdleSince(TimePoint since) { m_idleSince = since; }
 
 private:
-    int m_socket = -1;
+    BlockingConnection m_connection;
     TimePoint m_idleSince;
 };
 
--- a/src/transport/targetclient.h
+++ b/src/transport/targetclient.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/cancellation.h"
 #include "base/iclock.h"
 #include "outcomes/httpmessage.h"
 #include "routing/routingtypes.h"
-#include "transport/cancellation.h"
 
 #include <functional>
 #include <memory>
--- a/src/transport/tests/targetclienttest.cpp
+++ b/src/transport/tests/targetclienttest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(connectionsAreReused);
     CPPUNIT_TEST(connectionWithSurplusBytesIsNotReused);
     CPPUNIT_TEST(truncatedAndAmbiguousResponsesCountAsLost);
+    CPPUNIT_TEST(malformedResponsesCountAsLost);
     CPPUNIT_TEST(refusedConnectionIsNotALostResponse);
     CPPUNIT_TEST(cancelAndTimeoutCloseTheConnection);
     CPPUNIT_TEST(sendPredicateCanPreventTheSend);
@@ -33,6 +34,20 @@
         return m_client.exchange(server.address(), m_request,
                                  std::chrono::steady_clock::now() + timeout, nullptr, {});
     }
+    /// Checks that a request which \a response answers counts as lost, and its connection is
+    /// closed.
+    void assertLost(const std::string &response)
+    {
+        const RawServer server({ response });
+        const ExchangeResult exchangeResult = exchange(server, 200ms);
+        const bool uncertain = exchangeResult.result.outcome == AttemptOutcome::ConnectionLost
+                               || exchangeResult.result.outcome == AttemptOutcome::TimedOut;
+        CPPUNIT_ASSERT_MESSAGE(response,
+                               uncertain && exchangeResult.sent && !exchangeResult.response);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, !response.empty(), exchangeResult.responseBegan);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::size_t(0),
+                                     m_client.openCount(server.address()));
+    }
     static std::string bodyOf(const ExchangeResult &exchangeResult)
     {
         return exchangeResult.response ? exchangeResult.response->body : std::string("none");
@@ -92,16 +107,29 @@
             ok + "Content-Length: -3\r\n\r\nabc",
             "nonsense\r\n\r\n",
         };
-        for (const std::string &it : replies) {
-            const RawServer server({ it });
-            const ExchangeResult exchangeResult = exchange(server, 200ms);
-            const bool uncertain = exchangeResult.result.outcome == AttemptOutcome::ConnectionLost
-                                   || exchangeResult.result.outcome == AttemptOutcome::TimedOut;
-            CPPUNIT_ASSERT_MESSAGE(it,
-                                   uncertain && exchangeResult.sent && !exchangeResult.response);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, !it.empty(), exchangeResult.responseBegan);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::size_t(0), m_client.openCount(server.address()));
-        }
+        for (const std::string &it : replies)
+            assertLost(it);
+    }
+
+    // Guards against bytes that are no response being passed on to a caller.
+    void malformedResponsesCountAsLost()
+    {
+        const std::string end = "Content-Length: 2\r\n\r\nok";
+        for (const char *it : { "000", "00", "099", "20", "600", "999", "0200", "2xx", "-20" })
+            assertLost("HTTP/1.1 " + std::string(it) + " Text\r\n" + end);
+        assertLost("HTTP/3.0 200 OK\r\n" + end);
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        using namespace std::string_literals;
+        for (const std::string &it :
+             { "X Y: z"s, "X : z"s, "Content-Length : 2"s, "X\x01: z"s, "X\tY: z"s, "X\x7f: z"s,
+               "X\0Y: z"s, "X\xe9: z"s, ": z"s, "X"s, "X: a\x01"s, "X: a\0"s, "X: a\rb"s })
+            assertLost(ok + it + "\r\n" + end);
+        const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+        for (const char *it : { "4\r\ndataXX", "0x4\r\ndata\r\n", "+4\r\ndata\r\n",
+                                "-4\r\ndata\r\n", "4 4\r\ndata\r\n" })
+            assertLost(chunked + it + "0\r\n\r\n");
+        assertLost(ok + "Transfer-Encoding: gzip\r\n\r\nok");
+        assertLost(ok + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
     }
 
     // Guards against "not-run" for a request that may have run: a lost connection may have
