Bound what the platform client reads, and read it strictly

Operators saw, on systems like this one: a server sent bytes without end that were no answer, and the process that had called it ended. Cause: in lycheebayd the client of the platform is httplib's. It bounds neither a line nor the number of fields, and matches the status line with std::regex, which recurses for each character. It also skips lines that it cannot take apart, so that an append whose refusal was broken counted as refused, and would be repeated. Evidence: endlessResponsesAreBounded ended the test program with signal 11 before; malformedRefusalOfAnAppendIsUnknown failed with Unavailable in place of Unknown. Change: the client calls through BlockingConnection, with the bounds of HttpMessageLimits and one deadline for a call.

--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -1,9 +1,9 @@
 #include "platform/httpplatform.h"
 
+#include "http/internal/blockingconnection.h"
 #include "platform/logstatus.h"
 
 #include <fmt/format.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -126,18 +126,6 @@
                              state == "live" ? InstanceState::Live : InstanceState::Leaving };
 }
 
-HttpFailure failureOf(httplib::Error error)
-{
-    switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-    case httplib::Error::BindIPAddress:
-        return HttpFailure::NotConnected;
-    default:
-        return HttpFailure::Lost;
-    }
-}
-
 } // namespace
 
 /// Owns the idle connections; each call takes one, so that calls do not wait for each other.
@@ -150,71 +138,62 @@
 
     HttpResult call(const char *method, std::string path, std::string body)
     {
-        std::unique_ptr<httplib::Client> client = take();
-        HttpReply reply;
-        bool tooLarge = false;
-        const auto limit = std::chrono::steady_clock::now() + m_settings.responseTimeout
-                           + m_settings.connectTimeout;
-        httplib::Request request;
-        request.method = method;
-        request.path = std::move(path);
-        if (!body.empty()) {
-            request.headers.emplace("Content-Type", "application/json");
-            request.body = std::move(body);
-        }
-        // The receiver ends a response that is too large or arrives byte by byte for too long.
-        request.content_receiver = [&](const char *data, std::size_t n, std::uint64_t,
-                                       std::uint64_t) {
-            tooLarge = n > m_settings.maxResponseBytes - reply.body.size();
-            if (tooLarge || std::chrono::steady_clock::now() > limit)
-                return false;
-            reply.body.append(data, n);
-            return true;
+        HttpRequest request{
+            method, std::move(path), { { "Host", m_settings.address.toString() } }, std::move(body)
+        };
+        if (!request.body.empty())
+            request.headers.push_back({ "Content-Type", "application/json" });
+        const auto describe = [&](const char *what) {
+            return fmt::format("{} {}: {}", method, request.target, what);
         };
-        const httplib::Result result = client->send(request);
-        if (!result) {
-            const HttpFailure failure =
-                    tooLarge ? HttpFailure::TooLarge : failureOf(result.error());
-            return HttpError{ failure, fmt::format("{} {}: {}", method, request.path,
-                                                   tooLarge ? "the response is too large"
-                                                            : httplib::to_string(result.error())) };
+        const TimePoint start = std::chrono::steady_clock::now();
+        Connection connection = take();
+        if (!connection) {
+            connection = std::make_unique<BlockingConnection>();
+            const TimePoint deadline = start + m_settings.connectTimeout;
+            if (connection->connect(m_settings.address, deadline, nullptr) != StreamState::Open)
+                return HttpError{ HttpFailure::NotConnected, describe("no connection") };
         }
-        reply.status = result->status;
-        put(std::move(client));
-        return reply;
+        const TimePoint deadline = start + m_settings.connectTimeout + m_settings.responseTimeout;
+        HttpMessageLimits limits;
+        limits.bodyBytes = m_settings.maxResponseBytes;
+        BlockingExchange exchange = connection->exchange(request, deadline, nullptr, limits);
+        if (exchange.parserState == HttpMessageParser::State::BodyTooLarge)
+            return HttpError{ HttpFailure::TooLarge, describe("the response is too large") };
+        if (!exchange.isAnswered)
+            return HttpError{ HttpFailure::Lost, describe("no complete response") };
+        if (exchange.isReusable)
+            put(std::move(connection));
+        return HttpReply{ exchange.response.status, std::move(exchange.response.body) };
     }
 
 private:
-    std::unique_ptr<httplib::Client> take()
+    using Connection = std::unique_ptr<BlockingConnection>;
+
+    /// Returns an idle connection that may be used, or null.
+    Connection take()
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (!m_idle.empty()) {
-                auto client = std::move(m_idle.back());
-                m_idle.pop_back();
-                return client;
-            }
+        const std::lock_guard lock(m_mutex);
+        Connection connection;
+        while (!m_idle.empty() && !connection) {
+            connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (!connection->isReusable())
+                connection.reset();
         }
-        auto client =
-                std::make_unique<httplib::Client>(m_settings.address.host, m_settings.address.port);
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
-        client->set_connection_timeout(m_settings.connectTimeout);
-        client->set_read_timeout(m_settings.responseTimeout);
-        client->set_write_timeout(m_settings.responseTimeout);
-        return client;
+        return connection;
     }
 
-    void put(std::unique_ptr<httplib::Client> client)
+    void put(Connection connection)
     {
         const std::lock_guard lock(m_mutex);
         if (m_idle.size() < kMaxIdleConnections)
-            m_idle.push_back(std::move(client));
+            m_idle.push_back(std::move(connection));
     }
 
     const HttpPlatformSettings m_settings;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+    std::vector<Connection> m_idle;
 };
 
 HttpPlatform::HttpPlatform(HttpPlatformSettings settings)
--- a/src/platform/httpplatform.h
+++ b/src/platform/httpplatform.h
@@ -12,7 +12,7 @@
 {
     Address address;
     Duration connectTimeout = std::chrono::milliseconds(500);
-    /// Bounds each wait for bytes and, once headers are in, the whole response.
+    /// Bounds the time from the connection to the whole response.
     Duration responseTimeout = std::chrono::seconds(2);
     /// A read of one record of 8 MiB fits, also when JSON escapes double it.
     std::size_t maxResponseBytes = std::size_t(32) << 20;
--- a/src/platform/tests/httpplatformtest.cpp
+++ b/src/platform/tests/httpplatformtest.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -93,6 +94,58 @@
     std::thread m_thread;
 };
 
+/// Accepts one connection, reads the request, and sends \a start and then \a repeated again and
+/// again, until the peer closes the connection or kMaxBytes were sent.
+class EndlessServer
+{
+public:
+    static constexpr std::size_t kMaxBytes = 64UL << 20U;
+
+    EndlessServer(std::string start, const std::string &repeated)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        socklen_t n = sizeof(address);
+        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, generic, n));
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, generic, &n));
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this, text = std::move(start), repeated]() mutable {
+            const int connection = accept(m_socket, nullptr, nullptr);
+            char buf[4096];
+            ssize_t sent = recv(connection, buf, sizeof(buf), 0);
+            while (sent > 0 && m_sentBytes < kMaxBytes) {
+                sent = send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+                m_sentBytes += std::max<ssize_t>(sent, 0);
+                for (text.clear(); text.size() < (64UL << 10U);)
+                    text += repeated;
+            }
+            close(connection);
+        });
+    }
+    ~EndlessServer()
+    {
+        m_thread.join();
+        close(m_socket);
+    }
+    HttpPlatformSettings settings() const
+    {
+        HttpPlatformSettings settings{ { "127.0.0.1", m_port } };
+        settings.maxResponseBytes = 1UL << 20U;
+        return settings;
+    }
+    std::size_t sentBytes() const { return m_sentBytes; }
+
+private:
+    int m_socket;
+    std::uint16_t m_port = 0;
+    std::atomic<std::size_t> m_sentBytes = 0;
+    std::thread m_thread;
+};
+
 struct Case
 {
     int status;
@@ -112,6 +165,8 @@
     CPPUNIT_TEST(listRejectsMalformedResponses);
     CPPUNIT_TEST(rejectsWhatCannotBeSent);
     CPPUNIT_TEST(oversizedResponseIsAnError);
+    CPPUNIT_TEST(endlessResponsesAreBounded);
+    CPPUNIT_TEST(malformedRefusalOfAnAppendIsUnknown);
     CPPUNIT_TEST(threadsShareOnePlatform);
     CPPUNIT_TEST_SUITE_END();
 
@@ -226,6 +281,46 @@
         CPPUNIT_ASSERT(absl::IsUnknown(platform.append("configuration", "x").status()));
     }
 
+    // Guards against an instance that runs out of memory because the platform sends without end.
+    void endlessResponsesAreBounded()
+    {
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const std::pair<std::string, std::string> cases[] = {
+            { "", "x" },
+            { "HTTP/1.1 200 ", "x" },
+            { ok + "X: ", "x" },
+            { ok, "X-Field: value\r\n" },
+            { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+            { ok + "\r\n", "x" },
+            { ok + "Transfer-Encoding: chunked\r\n\r\n", "0" },
+            { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n" },
+        };
+        for (const auto &[start, repeated] : cases) {
+            EndlessServer server(start, repeated);
+            HttpPlatform platform(server.settings());
+            CPPUNIT_ASSERT_MESSAGE(start + repeated, !platform.list().ok());
+            // What was read, and what the system buffers on the way.
+            CPPUNIT_ASSERT_MESSAGE(start + repeated,
+                                   server.sentBytes() < EndlessServer::kMaxBytes / 4);
+        }
+    }
+
+    // Guards against an append that may have happened being repeated.
+    void malformedRefusalOfAnAppendIsUnknown()
+    {
+        for (const std::string response : {
+                     "HTTP/1.1 404 No\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+                     "HTTP/1.1 404 No\r\nContent-Length : 0\r\n\r\n",
+                     "HTTP/1.1 404 No\r\nContent-Length: 9\r\n\r\npart",
+                     "HTTP/1.1 404 No\r\nTransfer-Encoding: gzip\r\n\r\n",
+                     "HTTP/3.0 404 No\r\nContent-Length: 0\r\n\r\n",
+             }) {
+            const RawServer server(response);
+            HttpPlatform platform(server.settings());
+            CPPUNIT_ASSERT_MESSAGE(response, absl::IsUnknown(platform.append("a", "x").status()));
+        }
+    }
+
     void threadsShareOnePlatform()
     {
         const CannedServer server(200, R"({"first":0,"next":0,"records":[]})");
