Share one faulty server between the tests

Cause: duplicates found that the stand-in that resets connections repeats the one that sends without end, and a listener of the platform's tests stood twice. Change: EndlessServer::resetAfter() and listenOnLoopback() take their place. Measured: with the fix of the reset taken out, resetDuringAnUploadIsNotTheEndOfTheAnswer, endDuringAnUploadIsNotTheEndOfTheAnswer and partOfAnAnswerToAnUploadIsNotPassedOn fail as before; with it http_tests 44 of 44, platform_tests 10 of 10.

--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -6,7 +6,6 @@
 #include "http/tests/endlessserver.h"
 #include "http/tests/loopfixture.h"
 #include "http/tests/rawserver.h"
-#include "http/tests/resettingserver.h"
 
 #include <asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -109,7 +108,6 @@
         /// Takes the place of the listener if set.
         std::unique_ptr<EndlessServer> endless;
         std::unique_ptr<RawServer> raw;
-        std::unique_ptr<ResettingServer> resetting;
         Behaviour behaviour = Behaviour::Answer;
         Duration delay{};
         int runs = 0;
@@ -318,8 +316,6 @@
     {
         if (target.endless)
             return target.endless->address();
-        if (target.resetting)
-            return target.resetting->address();
         return target.raw ? target.raw->address() : Address{ "127.0.0.1", target.listener->port() };
     }
 
@@ -431,7 +427,6 @@
         for (const auto &it : m_targets) {
             it->endless.reset();
             it->raw.reset();
-            it->resetting.reset();
             it->heldExchanges.clear();
             it->timers.clear();
         }
@@ -665,13 +660,8 @@
     void partOfAnAnswerToAnUploadIsNotPassedOn()
     {
         publishConfiguration(15s);
-        for (int i = 0; i < 2; ++i) {
-            m_targets.push_back(std::make_unique<Target>());
-            m_targets.back()->resetting =
-                    std::make_unique<ResettingServer>(*m_loop, "HTTP/1.1 200 OK\r\n\r\npart", 20ms);
-            m_targets.back()->resetting->answer("GET /health", serialized(loadResponse()));
-        }
-        publishTargets();
+        for (int i = 0; i < 2; ++i)
+            addEndlessTarget("HTTP/1.1 200 OK\r\n\r\npart", "").resetAfter(20ms);
         const std::string body(20UL << 20U, 'x');
         for (const char *path : { "/lookup/a", "/order/a" })
             CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest(path, "POST", body)).status);
--- a/src/http/tests/endlessserver.h
+++ b/src/http/tests/endlessserver.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheebay {
@@ -37,6 +38,10 @@
         m_state->answer = std::move(response);
     }
 
+    /// Resets a connection this long after \a start was sent on it, without reading any further.
+    /// Precondition: no text is repeated, and no peer has connected.
+    void resetAfter(Duration pause) { m_state->resetPause = pause; }
+
     Address address() const { return { "127.0.0.1", m_state->acceptor.local_endpoint().port() }; }
     std::size_t sentBytes() const { return m_state->sentBytes; }
     /// True once a peer has closed a connection on which bytes were sent.
@@ -73,6 +78,7 @@
         std::string burst;
         std::string answeredStart;
         std::string answer;
+        std::optional<Duration> resetPause;
         std::size_t sentBytes = 0;
         bool closedByPeer = false;
         bool stopped = false;
@@ -132,6 +138,14 @@
 
     static void writeNext(const StatePtr &state, const ConnectionPtr &connection)
     {
+        if (state->resetPause) {
+            connection->timer = state->timers.after(*state->resetPause, [connection] {
+                asio::error_code ignored;
+                connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                connection->socket.close(ignored);
+            });
+            return;
+        }
         if (state->burst.empty()) {
             // Keeps the connection open until the peer closes it.
             connection->socket.async_read_some(asio::buffer(connection->input),
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -2,8 +2,8 @@
 #include "http/httpconnectionpool.h"
 #include "http/httplistener.h"
 #include "http/httpserialization.h"
+#include "http/tests/endlessserver.h"
 #include "http/tests/loopfixture.h"
-#include "http/tests/resettingserver.h"
 
 #include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -229,7 +229,8 @@
         const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
         for (const std::string &answer : { head + "part", head, std::string() }) {
             for (const int ms : { 20, 150 }) {
-                ResettingServer server(m_loop, answer, std::chrono::milliseconds(ms));
+                EndlessServer server(m_loop, answer, "");
+                server.resetAfter(std::chrono::milliseconds(ms));
                 CPPUNIT_ASSERT(upload(server.address()) == TransferResult::Lost);
             }
         }
@@ -244,7 +245,8 @@
     void answerWithALengthIsCompleteDuringAnUpload()
     {
         const std::string answer = "HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno";
-        ResettingServer server(m_loop, answer, std::chrono::milliseconds(20));
+        EndlessServer server(m_loop, answer, "");
+        server.resetAfter(std::chrono::milliseconds(20));
         CPPUNIT_ASSERT(upload(server.address()) == TransferResult::Answered);
     }
 
--- a/src/platform/tests/httpplatformtest.cpp
+++ b/src/platform/tests/httpplatformtest.cpp
@@ -57,6 +57,20 @@
     std::thread m_thread;
 };
 
+/// Listens with \a socket on a loopback port and returns the port.
+std::uint16_t listenOnLoopback(int socket)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    socklen_t n = sizeof(address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(socket, generic, n));
+    CPPUNIT_ASSERT_EQUAL(0, listen(socket, 1));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(socket, generic, &n));
+    return ntohs(address.sin_port);
+}
+
 /// A TCP listener that accepts one connection, reads the request and sends \a response, if any.
 class RawServer
 {
@@ -64,15 +78,7 @@
     explicit RawServer(std::string response)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        socklen_t n = sizeof(address);
-        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, generic, n));
-        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
-        CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, generic, &n));
-        m_port = ntohs(address.sin_port);
+        m_port = listenOnLoopback(m_socket);
         m_thread = std::thread([this, response = std::move(response)] {
             const int connection = accept(m_socket, nullptr, nullptr);
             char buf[4096];
@@ -104,15 +110,7 @@
     EndlessServer(std::string start, const std::string &repeated)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        socklen_t n = sizeof(address);
-        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, generic, n));
-        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
-        CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, generic, &n));
-        m_port = ntohs(address.sin_port);
+        m_port = listenOnLoopback(m_socket);
         m_thread = std::thread([this, text = std::move(start), repeated]() mutable {
             const int connection = accept(m_socket, nullptr, nullptr);
             char buf[4096];
