Pace the tries of the test of a named limit

Cause: limitThatATargetNamesHoldsUntilAnAnswerNamesNone failed once beside a build, with 503 in place of 200. Traced: while it waits for the limit to end, the test sends one request after another, each on a connection that stays open. Change: 10 ms between the tries; the checks are the same, and as strict.

--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -492,7 +492,9 @@
         CPPUNIT_ASSERT(answered(200) <= 2);
         CPPUNIT_ASSERT_EQUAL(static_cast<long>(target.runs - 1), answered(200));
         target.limit.clear();
-        while (waitForResponse(sendRequest("/lookup/1")).status != 200) {}
+        // The pause keeps the refused callers from using up the connections of the gateway.
+        while (waitForResponse(sendRequest("/lookup/1")).status != 200)
+            m_loop->runFor(10ms);
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/1")).status);
         CPPUNIT_ASSERT_EQUAL(200, waitForResponse(sendRequest("/lookup/1")).status);
     }
