Serve requests that offer an upgrade

Clients that try HTTP/2 in this way would have got 400. Change: only unknown methods and request targets of another form are refused.

--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -18,17 +18,18 @@
 
 // Framing that is accepted for each byte of a chunked body; a chunk of one byte takes six.
 constexpr std::size_t kFramingPerBodyByte = 8;
+// Bounds of the status codes that HTTP defines (RFC 9110, 15).
 constexpr int kFirstStatus = 100;
+constexpr int kEndOfStatuses = 600;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kEndOfStatuses = 600;
 
 std::string_view view(beast::string_view text)
 {
     return { text.data(), text.size() };
 }
 
-/// True for the forms of a request target that name a resource of a server (RFC 9112, 3.2).
+/// True for the forms of a request target beside that of CONNECT (RFC 9112, 3.2).
 bool isRequestTarget(std::string_view target)
 {
     return target.starts_with('/') || target == "*" || target.find("://") != std::string_view::npos;
@@ -40,9 +41,10 @@
 {
     const std::string *coding = findHeader(headers, "Transfer-Encoding");
     const std::string *length = findHeader(headers, "Content-Length");
-    if (coding)
+    if (coding) {
         return !length && countHeader(headers, "Transfer-Encoding") == 1
                && sameHeaderName(*coding, "chunked");
+    }
     return !length
            || (countHeader(headers, "Content-Length") == 1
                && length->find_first_not_of("0123456789") == std::string::npos);
@@ -69,9 +71,9 @@
 
     void on_request_impl(http::verb verb, Text method, Text target, int, ErrorCode &ec) override
     {
-        if (verb == http::verb::unknown || verb == http::verb::connect)
+        if (verb == http::verb::unknown)
             ec = http::error::bad_method;
-        else if (!isRequestTarget(view(target)))
+        else if (verb != http::verb::connect && !isRequestTarget(view(target)))
             ec = http::error::bad_target;
         m_parser.m_request.method = view(method);
         m_parser.m_request.target = view(target);
@@ -96,8 +98,6 @@
         m_parser.m_headComplete = true;
         if (!isFramingClear(m_parser.headers()))
             ec = http::error::bad_transfer_encoding;
-        if (isRequest && this->upgrade())
-            ec = http::error::bad_field;
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override {}
--- a/src/http/tests/httpmessageparsertest.cpp
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(rejectsMalformedChunks);
     CPPUNIT_TEST(readsAResponseInPieces);
     CPPUNIT_TEST(ignoresEmptyLinesBeforeARequest);
+    CPPUNIT_TEST(rejectsRequestsThatAreNotServed);
     CPPUNIT_TEST(boundsHeadAndBody);
     CPPUNIT_TEST_SUITE_END();
 
@@ -289,6 +290,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/a"), parser.takeRequest().target);
     }
 
+    // Fails if a change of the library lets through what the gateway cannot serve, or refuses more
+    // than that.
+    void rejectsRequestsThatAreNotServed()
+    {
+        const std::string host = " HTTP/1.1\r\nHost: h\r\n";
+        for (const std::string &it :
+             { "FETCH /"s + host, "GET a"s + host, "GET "s + host, "GET /\r\nHost: h\r\n"s }) {
+            Parser parser(Parser::Kind::Request);
+            parser.feed(it + "\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Malformed, parser.state());
+        }
+        for (const std::string &it :
+             { "OPTIONS *"s + host, "GET http://h/a"s + host, "PATCH /a?b=%20"s + host,
+               "GET /"s + host + "Connection: upgrade\r\nUpgrade: h2c\r\n", "CONNECT h:1"s + host,
+               "GET / HTTP/1.0\r\n"s }) {
+            Parser parser(Parser::Kind::Request);
+            parser.feed(it + "\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, Parser::State::Complete, parser.state());
+        }
+    }
+
     void boundsHeadAndBody()
     {
         const HttpMessageLimits limits{ 64, 8 };
