--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kAnswerMargin = milliseconds(20);
 constexpr int kMaxCheckConnections = 4;
 constexpr std::size_t kMaxConcurrentChecks = 64;
-constexpr ClientConnectionTimeouts kCheckTimeouts{ milliseconds(250), milliseconds(250), {} };
+constexpr ClientConnectionOptions kCheckTimeouts{ milliseconds(250), milliseconds(250), {} };
 // Two lost attempts in a row are rarely a coincidence: the request is not sent before the verdict.
 constexpr int kMaxUndecidedLosses = 2;
 // Covers the longest check.
--- a/src/gateway/internal/instanceconnections.cpp
+++ b/src/gateway/internal/instanceconnections.cpp
@@ -9,7 +9,7 @@
 // Far below the time after which an instance closes an idle connection of a caller, so that a
 // request does not cross the close.
 constexpr Duration kIdleLimit = milliseconds(1500);
-constexpr ClientConnectionTimeouts kTimeouts{ milliseconds(250), milliseconds(1500), {} };
+constexpr ClientConnectionOptions kTimeouts{ milliseconds(250), milliseconds(1500), {} };
 
 } // namespace
 
--- a/src/gateway/internal/targetconnections.cpp
+++ b/src/gateway/internal/targetconnections.cpp
@@ -13,7 +13,7 @@
 constexpr Duration kIdleLimitAtMostOnce = milliseconds(1500);
 constexpr Duration kIdleLimitIdempotent = milliseconds(4500);
 constexpr Duration kProbeTimeout = milliseconds(250);
-constexpr ClientConnectionTimeouts kProbeTimeouts{ kProbeTimeout, kProbeTimeout, {} };
+constexpr ClientConnectionOptions kProbeOptions{ kProbeTimeout, kProbeTimeout, {} };
 
 } // namespace
 
@@ -22,7 +22,7 @@
     : m_timers(timers)
     , m_record(std::move(record))
     , m_connections(context, timers, clock, m_record.address, {})
-    , m_probeConnections(context, timers, clock, m_record.address, kProbeTimeouts)
+    , m_probeConnections(context, timers, clock, m_record.address, kProbeOptions)
 {}
 
 TargetConnections::~TargetConnections()
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -26,18 +26,18 @@
     ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
 }
 
-void applyTimeouts(asio::ip::tcp::socket &socket, const ClientConnectionTimeouts &timeouts)
+void applyOptions(asio::ip::tcp::socket &socket, const ClientConnectionOptions &options)
 {
     using namespace std::chrono;
     constexpr int kKeepAliveProbes = 2;
     asio::error_code ec;
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
     setIntOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                 static_cast<int>(duration_cast<milliseconds>(timeouts.unacknowledged).count()));
-    if (timeouts.keepAlive <= Duration::zero())
+                 static_cast<int>(duration_cast<milliseconds>(options.unacknowledged).count()));
+    if (options.keepAlive <= Duration::zero())
         return;
     const int interval =
-            std::max(1, static_cast<int>(duration_cast<seconds>(timeouts.keepAlive).count()));
+            std::max(1, static_cast<int>(duration_cast<seconds>(options.keepAlive).count()));
     setIntOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setIntOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
     setIntOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
@@ -48,12 +48,12 @@
 
 HttpClientConnection::HttpClientConnection(asio::io_context &context, ITimerService &timers,
                                            const IClock &clock, const Address &address,
-                                           const ClientConnectionTimeouts &timeouts)
+                                           const ClientConnectionOptions &options)
     : m_socket(context)
     , m_timers(timers)
     , m_clock(clock)
     , m_address(address)
-    , m_timeouts(timeouts)
+    , m_options(options)
     , m_parser(HttpMessageParser::Kind::Response, kResponseLimits)
     , m_memory(asio::use_service<ResponseMemory>(context),
                [this] { end(TransferResult::Malformed); })
@@ -105,9 +105,9 @@
                 m_timers.after(Duration::zero(), [self] { self->end(TransferResult::NotSent); });
         return;
     }
-    applyTimeouts(m_socket, m_timeouts);
+    applyOptions(m_socket, m_options);
     m_connectTimer =
-            m_timers.after(m_timeouts.connect, [self] { self->end(TransferResult::NotSent); });
+            m_timers.after(m_options.connect, [self] { self->end(TransferResult::NotSent); });
     m_socket.async_connect({ host, m_address.port }, [self](asio::error_code error) {
         if (self->m_closed)
             return;
@@ -174,7 +174,8 @@
     while (!bytes.empty() && isBusy()) {
         bytes.remove_prefix(m_parser.feed(bytes));
         if (m_parser.state() == HttpMessageParser::State::Incomplete) {
-            m_memory.resize(m_parser.heldBytes());
+            if (m_options.sharesMemory)
+                m_memory.resize(m_parser.heldBytes());
             break;
         }
         if (m_parser.state() != HttpMessageParser::State::Complete) {
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -23,8 +23,8 @@
     Malformed, ///< the peer sent bytes that are no response, or too many; it may have acted
 };
 
-/// Time bounds of a client connection.
-struct ClientConnectionTimeouts
+/// Time bounds of a client connection, and its part in the bound of memory.
+struct ClientConnectionOptions
 {
     /// Bound for the TCP handshake.
     Duration connect = std::chrono::milliseconds(500);
@@ -33,8 +33,11 @@
     /// Interval of TCP keep-alive probes; ends a silent connection that only waits for an answer.
     /// Zero sends none.
     Duration keepAlive{};
+    /// False leaves the responses out of ResponseMemory, so that they are not ended for the memory
+    /// that others take. For few connections to one server only.
+    bool sharesMemory = true;
 
-    auto operator<=>(const ClientConnectionTimeouts &) const = default;
+    auto operator<=>(const ClientConnectionOptions &) const = default;
 };
 
 /// One TCP connection to an HTTP/1.1 server, with one exchange at a time. It never sends a request
@@ -47,7 +50,7 @@
     using Filter = std::function<bool(const HttpResponse &)>;
 
     HttpClientConnection(asio::io_context &context, ITimerService &timers, const IClock &clock,
-                         const Address &address, const ClientConnectionTimeouts &timeouts);
+                         const Address &address, const ClientConnectionOptions &options);
 
     /// Sends \a bytes, connecting first if needed, and calls \a done once, unless close() comes
     /// before. Precondition: no exchange is running and isOpen().
@@ -83,7 +86,7 @@
     ITimerService &m_timers;
     const IClock &m_clock;
     const Address m_address;
-    const ClientConnectionTimeouts m_timeouts;
+    const ClientConnectionOptions m_options;
     TimerSubscription m_connectTimer;
     HttpMessageParser m_parser;
     ResponseMemory::Share m_memory;
--- a/src/http/httpconnectionpool.cpp
+++ b/src/http/httpconnectionpool.cpp
@@ -4,12 +4,12 @@
 
 HttpConnectionPool::HttpConnectionPool(asio::io_context &context, ITimerService &timers,
                                        const IClock &clock, const Address &address,
-                                       const ClientConnectionTimeouts &timeouts)
+                                       const ClientConnectionOptions &options)
     : m_context(context)
     , m_timers(timers)
     , m_clock(clock)
     , m_address(address)
-    , m_timeouts(timeouts)
+    , m_options(options)
 {}
 
 HttpConnectionPool::~HttpConnectionPool()
@@ -31,7 +31,7 @@
         drop(m_idle.front());
     HttpClientConnection *it = m_idle.front();
     if (!it || !it->isReusable(m_clock.now(), maxIdle)) {
-        return makeRef<HttpClientConnection>(m_context, m_timers, m_clock, m_address, m_timeouts);
+        return makeRef<HttpClientConnection>(m_context, m_timers, m_clock, m_address, m_options);
     }
     it->unlink();
     return IntrusivePtr<HttpClientConnection>::adopt(it);
--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -9,7 +9,7 @@
 {
 public:
     HttpConnectionPool(asio::io_context &context, ITimerService &timers, const IClock &clock,
-                       const Address &address, const ClientConnectionTimeouts &timeouts);
+                       const Address &address, const ClientConnectionOptions &options);
     ~HttpConnectionPool();
     HttpConnectionPool(const HttpConnectionPool &) = delete;
     HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
@@ -33,7 +33,7 @@
     ITimerService &m_timers;
     const IClock &m_clock;
     const Address m_address;
-    const ClientConnectionTimeouts m_timeouts;
+    const ClientConnectionOptions m_options;
     /// In order of use, the latest first.
     IntrusiveList<HttpClientConnection, HttpClientConnection> m_idle;
 };
