--- a/src/http/tests/httpmessageparsertest.cpp
+++ b/src/http/tests/httpmessageparsertest.cpp
@@ -150,8 +150,8 @@
         }
     }
 
-    // Guards against a body that is cut at the wrong place, or passed on in a coding that its
-    // receiver is not told of.
+    // Guards against a body that is cut at the wrong place, or passed on in a coding that nothing
+    // in the message names any more.
     void rejectsUnclearFraming()
     {
         const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
