Share the measure of the heap, and put a comment back to its test

Cause: reading the change again: three tests held the same lambda around mallinfo2(), and the new tests of the gateway stood between endlessAnswerOfAnAtMostOnceRequestIsUnknown and the comment that says what it guards against. Change: heapBytes() in http/tests; the comment stands above its test. No check changed.

--- a/src/gateway/tests/gatewaytest.cpp
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -4,14 +4,13 @@
 #include "gateway/lycheebayprotocol.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
+#include "http/tests/heapbytes.h"
 #include "http/tests/loopfixture.h"
 #include "http/tests/rawserver.h"
 
 #include <asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <malloc.h>
-
 #include <map>
 
 namespace lycheebay {
@@ -628,8 +627,6 @@
         m_gateway->setTargetListRefresher(nullptr);
     }
 
-    // Fails if bytes without end occupy the instance until the deadline, or if "not run" is said of
-    // a request that the target may have run.
     void answerWithAnInvalidStatusIsNotPassedOn()
     {
         std::vector<std::string> answers;
@@ -669,6 +666,8 @@
             CPPUNIT_ASSERT_EQUAL(502, waitForResponse(sendRequest(path, "POST", body)).status);
     }
 
+    // Fails if bytes without end occupy the instance until the deadline, or if "not run" is said of
+    // a request that the target may have run.
     void endlessAnswerOfAnAtMostOnceRequestIsUnknown()
     {
         publishConfiguration(15s);
@@ -698,10 +697,6 @@
             addEndlessTarget("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                              "4\r\nBAD!\r\n");
         }
-        const auto heapBytes = [] {
-            const struct mallinfo2 info = mallinfo2();
-            return info.uordblks + info.hblkhd;
-        };
         const std::size_t heapAtStart = heapBytes();
         std::size_t maxHeapBytes = heapAtStart;
         std::vector<std::shared_ptr<Answer>> answers;
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -1,12 +1,11 @@
 #include "http/httpclientconnection.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
+#include "http/tests/heapbytes.h"
 #include "http/tests/loopfixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <optional>
 #include <vector>
@@ -62,12 +61,6 @@
         CPPUNIT_ASSERT(m_loop.runUntil([&] { return server.isClosedByPeer(); }));
     }
 
-    static std::size_t heapBytes()
-    {
-        const struct mallinfo2 info = mallinfo2();
-        return info.uordblks + info.hblkhd;
-    }
-
     HttpConnection connect(const Address &address, const ClientConnectionOptions &options = {})
     {
         return makeRef<HttpClientConnection>(m_loop.context, m_loop.timers, m_loop.clock, address,
--- a/src/http/tests/httpconnectiontest.cpp
+++ b/src/http/tests/httpconnectiontest.cpp
@@ -3,13 +3,12 @@
 #include "http/httplistener.h"
 #include "http/httpserialization.h"
 #include "http/tests/endlessserver.h"
+#include "http/tests/heapbytes.h"
 #include "http/tests/loopfixture.h"
 
 #include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <malloc.h>
-
 namespace lycheebay {
 
 class HttpConnectionTest : public CppUnit::TestFixture
@@ -272,10 +271,6 @@
     {
         constexpr std::size_t kBodyBytes = 1UL << 20U;
         constexpr int kConnections = 8;
-        const auto heapBytes = [] {
-            const struct mallinfo2 info = mallinfo2();
-            return info.uordblks + info.hblkhd;
-        };
         const std::string body(kBodyBytes, 'x');
         const Address address = serve([&](const IntrusivePtr<HttpExchange> &it) {
             it->respond(jsonResponse(200, it->request().body));
