Simplify the count of the memory of a message

Cause: reading the change again: heldBytes() chose between request and response once more, beside headers() and body(); the other of the two is always empty. Behaviour is the same.

--- a/src/http/httpmessageparser.cpp
+++ b/src/http/httpmessageparser.cpp
@@ -254,11 +254,10 @@
 
 std::size_t HttpMessageParser::heldBytes() const
 {
-    const bool isRequest = m_kind == Kind::Request;
-    const HttpHeaders &fields = isRequest ? m_request.headers : m_response.headers;
-    const std::string &content = isRequest ? m_request.body : m_response.body;
-    return fields.capacity() * sizeof(HttpHeader) + m_headBytes + content.capacity()
-           + m_pending.capacity();
+    // The message of the other kind is empty.
+    const std::size_t fields = m_request.headers.capacity() + m_response.headers.capacity();
+    return fields * sizeof(HttpHeader) + m_headBytes + m_request.body.capacity()
+           + m_response.body.capacity() + m_pending.capacity();
 }
 
 HttpHeaders &HttpMessageParser::headers()
--- a/src/http/internal/deadlinestream.h
+++ b/src/http/internal/deadlinestream.h
@@ -20,7 +20,7 @@
 /// Buffered socket stream with one deadline for all calls together. Received bytes that have not
 /// been read stay visible in buffered(), so that the owner can detect surplus input. Once state()
 /// is not Open, nothing more is sent or received. Not thread-safe.
-class DeadlineStream
+class DeadlineStream final
 {
 public:
     /// Does not take ownership of \a socket.
