Encode the names that become part of a store query

Cause: the store lists the newest records in pages, and the next page is asked for by the last key of the one before. StoreClient put that key into the query as it was. A key with a blank or a line break made a malformed request line (400, or a field of the call), one with a percent sign an escape that the store rejects, and of "&odd", "+odd" and "%20odd" the store saw a key that sorts before the whole page and began again without end. An instance that has a list keeps it; one that has just started has none.

Change: targetWithQuery() builds the targets of all calls with a query and percent-encodes the values but for unreserved characters. The names in use look as before.

Conclusion: any key is one value of the query, so the store continues exactly after it.

--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -1,7 +1,11 @@
 #include "outcomes/httpmessage.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <iterator>
 
 namespace lycheebay {
 
@@ -19,6 +23,38 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+/// Characters that a URI may hold as they are anywhere (RFC 3986, 2.3).
+bool isUnreserved(char c)
+{
+    const bool alphanumeric =
+            (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+    return alphanumeric || std::string_view("-._~").find(c) != std::string_view::npos;
+}
+
+void appendEncoded(std::string &text, std::string_view value)
+{
+    for (const char it : value) {
+        if (isUnreserved(it))
+            text += it;
+        else
+            fmt::format_to(std::back_inserter(text), "%{:02X}", static_cast<unsigned char>(it));
+    }
+}
+
+/// Returns the byte that an escape such as "%2F" stands for; null if it is none.
+std::optional<char> decodePercentEscape(std::string_view escape)
+{
+    constexpr int kHexadecimal = 16;
+    if (escape.size() != std::string_view("%2F").size() || escape.front() != '%')
+        return std::nullopt;
+    unsigned value = 0;
+    const char *end = escape.data() + escape.size();
+    const auto parsed = std::from_chars(escape.data() + 1, end, value, kHexadecimal);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return static_cast<char>(value);
+}
+
 bool isListedInConnection(std::string_view connection, std::string_view name)
 {
     while (!connection.empty()) {
@@ -86,6 +122,37 @@
     return std::nullopt;
 }
 
+std::string targetWithQuery(std::string_view path, const std::vector<QueryParameter> &query)
+{
+    std::string target(path);
+    char separator = '?';
+    for (const QueryParameter &it : query) {
+        target += separator + it.name + '=';
+        appendEncoded(target, it.value);
+        separator = '&';
+    }
+    return target;
+}
+
+std::optional<std::string> decodeQueryValue(std::string_view text)
+{
+    constexpr std::size_t kEscapeSize = 3;
+    std::string decoded;
+    while (!text.empty()) {
+        if (text.front() != '%') {
+            decoded += text.front() == '+' ? ' ' : text.front();
+            text.remove_prefix(1);
+            continue;
+        }
+        const auto byte = decodePercentEscape(text.substr(0, kEscapeSize));
+        if (!byte)
+            return std::nullopt;
+        decoded += *byte;
+        text.remove_prefix(kEscapeSize);
+    }
+    return decoded;
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
     HttpHeaders result;
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -41,6 +41,15 @@
     auto operator<=>(const HttpResponse &) const = default;
 };
 
+/// A parameter of a query; neither name nor value is encoded.
+struct QueryParameter
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const QueryParameter &) const = default;
+};
+
 /// Compares two header names, ignoring case.
 bool sameHeaderName(std::string_view a, std::string_view b);
 /// Returns the value of the first header of that name, or null. The pointer is valid until
@@ -53,6 +62,13 @@
 /// Returns the value of the first query parameter of that name, not percent-decoded, or nullopt
 /// when \a target has none.
 std::optional<std::string> queryValue(std::string_view target, std::string_view name);
+/// Returns a request target that consists of \a path and a query with the parameters. Their values
+/// are percent-encoded but for the unreserved characters (RFC 3986, 2.3), so that a value can hold
+/// any bytes. Precondition: \a path and the names need no encoding. Thread-safe.
+std::string targetWithQuery(std::string_view path, const std::vector<QueryParameter> &query);
+/// Decodes a value of a query in which a plus sign may stand for a space, as in HTML forms. Returns
+/// nullopt if a percent sign is not followed by two hexadecimal digits. Thread-safe.
+std::optional<std::string> decodeQueryValue(std::string_view text);
 /// Returns the headers that are to be forwarded: all except hop-by-hop headers (RFC 9110, 7.6.1),
 /// headers listed in Connection, Host and Content-Length.
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
--- a/src/outcomes/tests/outcomestest.cpp
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -1,6 +1,7 @@
 #include "base/hash.h"
 #include "base/manualclock.h"
 #include "outcomes/crashsuspects.h"
+#include "outcomes/httpmessage.h"
 #include "outcomes/outcometable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -8,6 +9,7 @@
 namespace lycheebay {
 
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 
 class OutcomesTest : public CppUnit::TestFixture
 {
@@ -26,6 +28,8 @@
     CPPUNIT_TEST(runsLostTogetherCountOnce);
     CPPUNIT_TEST(answeredRequestIsNotSuspected);
     CPPUNIT_TEST(suspectsAreBounded);
+    CPPUNIT_TEST(queryValuesAreEncoded);
+    CPPUNIT_TEST(queryValuesAreDecoded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t kSelf = 7;
@@ -247,6 +251,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), suspects.count());
         CPPUNIT_ASSERT(suspects.refusedFor(99, m_clock.now()) == Duration(10min));
     }
+
+    // Guards against a value that adds parameters, headers or another request.
+    void queryValuesAreEncoded()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("/p"), targetWithQuery("/p", {}));
+        CPPUNIT_ASSERT_EQUAL(std::string("/p?a=Az09-._~&b="),
+                             targetWithQuery("/p", { { "a", "Az09-._~" }, { "b", "" } }));
+        CPPUNIT_ASSERT_EQUAL(std::string("/p?a=%26%3D%2B%23%25%20%2F%3F%0D%0A%00%7F%C3%BC%FF"),
+                             targetWithQuery("/p", { { "a", "&=+#% /?\r\n\0\x7f\xc3\xbc\xff"s } }));
+    }
+
+    void queryValuesAreDecoded()
+    {
+        CPPUNIT_ASSERT_EQUAL("a b c&\0\xff"s, *decodeQueryValue("a+b%20c%26%00%fF"));
+        for (const char *it : { "%", "%2", "%zz", "%-1", "%+1", "% 1", "a%2" })
+            CPPUNIT_ASSERT_MESSAGE(it, !decodeQueryValue(it));
+        for (int byte = 0; byte < 256; ++byte) {
+            const std::string value(1, static_cast<char>(byte));
+            const std::string target = targetWithQuery("/", { { "a", value } });
+            CPPUNIT_ASSERT_EQUAL(value, *decodeQueryValue(target.substr(target.find('=') + 1)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OutcomesTest);
