Escape in the log what other writers named

A name with blanks ran into the fields that follow.

Cause: the names of unreadable registrations, members and drained domains went into the lines as they were, and the appender takes what it gets for one line. The text of an unreadable configuration could end its quotes.

Change: logValue() writes such names without blanks and separators, as hexadecimal escapes; the appender escapes control characters in any message. Names of one printable word look as before.

Conclusion: each event is one line, and its fields can be told apart.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,16 +2,43 @@
 
 #include "base/boundedoutput.h"
 
+#include <fmt/format.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <iterator>
 #include <sstream>
 
 namespace lycheebay {
 
 namespace {
 
+bool isPrintable(char c)
+{
+    return static_cast<unsigned char>(c) >= ' ' && c != '\x7f';
+}
+
+/// True if \a c cannot be taken for the end of a value or for an escape.
+bool isValueCharacter(char c)
+{
+    return c > ' ' && c <= '~' && std::string_view("\"\\=,").find(c) == std::string_view::npos;
+}
+
+/// Writes each byte that \a isAllowed rejects as a hexadecimal escape.
+std::string escape(std::string_view text, bool (*isAllowed)(char))
+{
+    std::string escaped;
+    for (const char it : text) {
+        if (isAllowed(it))
+            escaped += it;
+        else
+            fmt::format_to(std::back_inserter(escaped), "\\x{:02x}",
+                           static_cast<unsigned char>(it));
+    }
+    return escaped;
+}
+
 class BoundedAppender final : public log4cplus::Appender
 {
 public:
@@ -29,7 +56,7 @@
     {
         std::ostringstream text;
         layout->formatAndAppend(text, event);
-        m_output.writeLine(text.view());
+        m_output.writeLine(escape(text.view(), isPrintable));
     }
 
 private:
@@ -65,6 +92,11 @@
     useOnly(appender, level);
 }
 
+std::string logValue(std::string_view text)
+{
+    return text.empty() ? "-" : escape(text, isValueCharacter);
+}
+
 log4cplus::Logger componentLogger(const std::string &component)
 {
     return log4cplus::Logger::getInstance(component);
