Encode what lycheebayctl explain asks for

Cause: the command put its arguments into the query as they were.

Conclusion: the entry explains the request that was typed. Checked beside it and left alone: names in /streams/{}/records must be stream names (rejectsWhatCannotBeSent), and services in /v1/addresses?service= are those of the sheet, which holds only letters, digits, dots, dashes and underscores.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "ctl/publishing.h"
 #include "estate/sheet.h"
+#include "outcomes/httpmessage.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -235,10 +236,11 @@
 {
     if (options.service.empty())
         return usage(output, "explain needs --service");
-    return show(options,
-                fmt::format("/admin/v1/explain?service={}&method={}&path={}&tenant={}",
-                            options.service, options.method, options.path, options.tenant),
-                output);
+    const std::vector<QueryParameter> query{ { "service", options.service },
+                                             { "method", options.method },
+                                             { "path", options.path },
+                                             { "tenant", options.tenant } };
+    return show(options, targetWithQuery("/admin/v1/explain", query), output);
 }
 
 /// A command by its words; `argument` tells whether one more word follows.
