Read the platform's list of instances beside an odd one

Operators: lycheebayd kept its last list of instances, or none after a start, while one item of the platform's list had no readable id, address or state.

Cause: HttpPlatform::list() returned an error for one such item.

Change: an item that cannot be read is skipped; their number is logged when it changes. A list that is none, or is damaged, is still refused.

Conclusion: one item hides no other.

--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -1,5 +1,6 @@
 #include "platform/httpplatform.h"
 
+#include "base/log.h"
 #include "http/internal/blockingconnection.h"
 #include "platform/logstatus.h"
 
@@ -7,7 +8,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
+#include <optional>
 #include <variant>
 
 namespace lycheebay {
@@ -114,14 +117,14 @@
     return batch;
 }
 
-absl::StatusOr<PlatformInstance> parseInstance(const json &item)
+std::optional<PlatformInstance> parseInstance(const json &item)
 {
     if (!hasString(item, "id") || !hasString(item, "address") || !hasString(item, "state"))
-        return malformed("instance");
+        return std::nullopt;
     const auto address = parseAddress(item["address"].get<std::string>());
     const std::string state = item["state"].get<std::string>();
     if (!address.ok() || (state != "live" && state != "leaving"))
-        return malformed("instance");
+        return std::nullopt;
     return PlatformInstance{ item["id"].get<std::string>(), *address,
                              state == "live" ? InstanceState::Live : InstanceState::Leaving };
 }
@@ -167,6 +170,14 @@
         return HttpReply{ exchange.response.status, std::move(exchange.response.body) };
     }
 
+    /// Logs how many items of the list cannot be read when that has changed.
+    void noteUnreadableInstances(std::size_t n)
+    {
+        if (m_unreadableInstances.exchange(n) != n)
+            LOG4CPLUS_WARN(componentLogger("platform"),
+                           n << " instances of the platform's list cannot be read");
+    }
+
 private:
     using Connection = std::unique_ptr<BlockingConnection>;
 
@@ -194,6 +205,7 @@
     const HttpPlatformSettings m_settings;
     std::mutex m_mutex;
     std::vector<Connection> m_idle;
+    std::atomic<std::size_t> m_unreadableInstances = 0;
 };
 
 HttpPlatform::HttpPlatform(HttpPlatformSettings settings)
@@ -262,12 +274,15 @@
     if (!hasArray(document, "instances"))
         return malformed("instance list");
     std::vector<PlatformInstance> instances;
+    std::size_t unreadable = 0;
     for (const json &item : document["instances"]) {
-        absl::StatusOr<PlatformInstance> instance = parseInstance(item);
-        if (!instance.ok())
-            return instance.status();
-        instances.push_back(std::move(*instance));
+        std::optional<PlatformInstance> instance = parseInstance(item);
+        if (instance)
+            instances.push_back(std::move(*instance));
+        else
+            ++unreadable;
     }
+    m_private->noteUnreadableInstances(unreadable);
     return instances;
 }
 
--- a/src/platform/iinstancelist.h
+++ b/src/platform/iinstancelist.h
@@ -28,7 +28,8 @@
 public:
     virtual ~IInstanceList() = default;
 
-    /// Returns the list as the platform shows it now. Errors: Unavailable. Blocks. Thread-safe.
+    /// Returns the list as the platform shows it now, less the items that cannot be read. Errors:
+    /// Unavailable. Blocks. Thread-safe.
     virtual absl::StatusOr<std::vector<PlatformInstance>> list() = 0;
 };
 
