Read the platform's log beside a record without text

Operators: an entry that reads lycheebayd's log would have followed no change from a record on that another writer appended without text.

Cause: HttpPlatform::read() returned an error for a whole batch if the data of one record was no string, and the batch was read again for ever.

Change: such a record has empty data.

Conclusion: one record hides no other.

--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -106,9 +106,12 @@
         return offsetDropped(batch.first);
     std::uint64_t lowest = from;
     for (const json &item : document["records"]) {
-        if (!hasUnsigned(item, "offset") || !hasString(item, "data"))
+        if (!hasUnsigned(item, "offset"))
             return malformed("record");
-        LogRecord record{ item["offset"].get<std::uint64_t>(), item["data"].get<std::string>() };
+        LogRecord record{ item["offset"].get<std::uint64_t>(), {} };
+        // A record without text is no change; the reader notes it as malformed and goes on.
+        if (hasString(item, "data"))
+            record.data = item["data"].get<std::string>();
         if (record.offset < lowest)
             return malformed("record order");
         lowest = record.offset + 1;
--- a/src/platform/iplatformlog.h
+++ b/src/platform/iplatformlog.h
@@ -44,7 +44,8 @@
     virtual absl::StatusOr<std::uint64_t> append(std::string_view stream,
                                                  std::string_view data) = 0;
 
-    /// Reads up to \a maxRecords from offset \a from on. Blocks like append(). Thread-safe.
+    /// Reads up to \a maxRecords from offset \a from on. The data of a record that holds no text is
+    /// empty. Blocks like append(). Thread-safe.
     virtual absl::StatusOr<LogBatch> read(std::string_view stream, std::uint64_t from,
                                           std::size_t maxRecords) = 0;
 };
