Share the decoding of percent escapes

Cause: the decoding of queries repeated that of paths in RequestContext.

Change: both use decodePercentEscape(); what a path may not escape is checked beside it, as before.

Measured: entry_tests, outcomes_tests, ctl_tests and platform_adapter_tests pass on the change; no behaviour is meant to differ.

--- a/src/entry/internal/requestcontext.cpp
+++ b/src/entry/internal/requestcontext.cpp
@@ -23,16 +23,11 @@
     return { status, std::move(reason), {} };
 }
 
-std::optional<char> decodeEscape(std::string_view escape)
+/// True if a target could interpret a path with an escape of \a c differently.
+bool isAmbiguous(char c)
 {
-    unsigned value = 0;
-    if (escape.size() != 2)
-        return {};
-    const auto parsed = std::from_chars(escape.data(), escape.data() + 2, value, 16);
-    const bool whole = parsed.ec == std::errc() && parsed.ptr == escape.data() + 2;
-    if (!whole || value < 0x20 || value == 0x7f || value == '/' || value == '\\')
-        return {};
-    return static_cast<char>(value);
+    const auto code = static_cast<unsigned char>(c);
+    return code < 0x20 || code == 0x7f || c == '/' || c == '\\';
 }
 
 bool hasEmptyOrDotSegment(std::string_view path)
@@ -186,11 +181,11 @@
             path.remove_prefix(1);
             continue;
         }
-        const auto c = decodeEscape(path.substr(1, 2));
-        if (!c)
+        const auto c = decodePercentEscape(path.substr(0, kPercentEscapeSize));
+        if (!c || isAmbiguous(*c))
             return {};
         decoded += *c;
-        path.remove_prefix(3);
+        path.remove_prefix(kPercentEscapeSize);
     }
     if (!decoded.starts_with('/') || hasEmptyOrDotSegment(decoded))
         return {};
--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -41,24 +41,9 @@
     }
 }
 
-/// Returns the byte that an escape such as "%2F" stands for; null if it is none.
-std::optional<char> decodePercentEscape(std::string_view escape)
-{
-    constexpr int kHexadecimal = 16;
-    if (escape.size() != std::string_view("%2F").size() || escape.front() != '%')
-        return std::nullopt;
-    unsigned value = 0;
-    const char *end = escape.data() + escape.size();
-    const auto parsed = std::from_chars(escape.data() + 1, end, value, kHexadecimal);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return static_cast<char>(value);
-}
-
 /// Decodes a value of a query; null if an escape is incomplete.
 std::optional<std::string> decodeQueryValue(std::string_view text)
 {
-    constexpr std::size_t kEscapeSize = 3;
     std::string decoded;
     while (!text.empty()) {
         if (text.front() != '%') {
@@ -66,11 +51,11 @@
             text.remove_prefix(1);
             continue;
         }
-        const auto byte = decodePercentEscape(text.substr(0, kEscapeSize));
+        const auto byte = decodePercentEscape(text.substr(0, kPercentEscapeSize));
         if (!byte)
             return std::nullopt;
         decoded += *byte;
-        text.remove_prefix(kEscapeSize);
+        text.remove_prefix(kPercentEscapeSize);
     }
     return decoded;
 }
@@ -128,6 +113,19 @@
                   [&](const HttpHeader &header) { return sameHeaderName(header.name, name); });
 }
 
+std::optional<char> decodePercentEscape(std::string_view escape)
+{
+    constexpr int kHexadecimal = 16;
+    if (escape.size() != kPercentEscapeSize || escape.front() != '%')
+        return std::nullopt;
+    unsigned value = 0;
+    const char *end = escape.data() + escape.size();
+    const auto parsed = std::from_chars(escape.data() + 1, end, value, kHexadecimal);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return static_cast<char>(value);
+}
+
 std::optional<std::string> queryValue(std::string_view target, std::string_view name)
 {
     const auto mark = target.find('?');
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -59,6 +59,12 @@
 /// Replaces all headers of that name by one with \a value.
 void setHeader(HttpHeaders &headers, std::string_view name, std::string value);
 void removeHeader(HttpHeaders &headers, std::string_view name);
+/// Size of a percent sign and two hexadecimal digits.
+inline constexpr std::size_t kPercentEscapeSize = 3;
+
+/// Returns the byte that an escape such as "%2F" stands for; nullopt if \a escape is none.
+/// Thread-safe.
+std::optional<char> decodePercentEscape(std::string_view escape);
 /// Returns the value of the first query parameter of that name, or nullopt when \a target has none
 /// or an escape in the value is incomplete. A plus sign stands for a space, as in HTML forms. Names
 /// are not decoded. Thread-safe.
