Copy a log line only if something in it is escaped

Cause: since the escaping of control characters, each line of the log was copied byte by byte, also on the path of a request, although hardly any line holds one.

Change: the line is written as it is unless it holds a control character.

Measured: platform_adapter_tests pass (namesDoNotForgeLogLines asserts the escapes); the output does not change.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -7,6 +7,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
 #include <iterator>
 #include <sstream>
 
@@ -56,7 +57,11 @@
     {
         std::ostringstream text;
         layout->formatAndAppend(text, event);
-        m_output.writeLine(escape(text.view(), isPrintable));
+        const std::string_view line = text.view();
+        if (std::all_of(line.begin(), line.end(), isPrintable))
+            m_output.writeLine(line);
+        else
+            m_output.writeLine(escape(line, isPrintable));
     }
 
 private:
