Send the body of a request from the caller's copy

Cause: a request that runs held its body three times: in the exchange, in the request of the attempt and in the bytes to send; a retry, a hedge or a forward copied it again. Found by reading.

Change: SerializedRequest holds the bytes of the head and refers to the body, which its owner, the exchange of the caller, keeps valid. The connection writes both in one call.

Conclusion: a body is held once, however many attempts it takes; a bound of memory can count it once.

--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -209,7 +209,7 @@
         const std::string answered = protocol.readResponseMetadata(response).attemptId;
         return answered.empty() || answered == id;
     };
-    attempt->connection->send(serializeRequest(request), request.method == "HEAD", isOurs,
+    attempt->connection->send(serializeRequest(request, body()), request.method == "HEAD", isOurs,
                               [self, attempt](TransferResult result, HttpResponse response) {
                                   self->transferEnded(attempt, result, std::move(response));
                               });
@@ -230,7 +230,7 @@
 HttpRequest ProxiedRequest::endToEndRequest() const
 {
     const HttpRequest &original = m_exchange->request();
-    HttpRequest request{ original.method, original.target, {}, original.body };
+    HttpRequest request{ original.method, original.target, {}, {} };
     const std::string *host = findHeader(original.headers, "Host");
     request.headers.push_back({ "Host", host ? *host : std::string() });
     for (HttpHeader &it : endToEndHeaders(original.headers))
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -57,8 +57,10 @@
     /// Forwards the request to another dispatcher if that may serve it; returns false if not.
     bool forward(ForwardReason reason);
     void forwardEnded(ForwardOutcome outcome, HttpResponse response, Duration retryAfter);
-    /// Headers and body of the caller's request, without fields that concern one connection.
+    /// The caller's request without its body and without fields that concern one connection.
     HttpRequest endToEndRequest() const;
+    /// The body of the caller's request; attempts do not copy it.
+    SharedBody body() const { return { m_exchange->request().body, m_exchange }; }
     /// Queues the request again after other dispatchers had no room for it.
     void stay();
     void countPlacement();
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -13,7 +13,7 @@
     const IntrusivePtr<ProxiedRequest> self(this);
     m_forwardReason = reason;
     return m_forwarder->start(
-            endToEndRequest(), wanted, m_queuedRequest.deadline,
+            endToEndRequest(), body(), wanted, m_queuedRequest.deadline,
             [self](ForwardOutcome outcome, HttpResponse response, Duration retryAfter) {
                 self->forwardEnded(outcome, std::move(response), retryAfter);
             });
--- a/src/gateway/internal/requestforwarder.cpp
+++ b/src/gateway/internal/requestforwarder.cpp
@@ -53,10 +53,11 @@
     , m_attemptId(std::move(attemptId))
 {}
 
-bool RequestForwarder::start(HttpRequest request, const ForwardRequest &wanted, TimePoint deadline,
-                             Done done)
+bool RequestForwarder::start(HttpRequest request, SharedBody body, const ForwardRequest &wanted,
+                             TimePoint deadline, Done done)
 {
     m_request = std::move(request);
+    m_body = std::move(body);
     m_wanted = wanted;
     m_deadline = deadline;
     m_offersLeft = std::min(kMaxOffers, kMaxTotalOffers - static_cast<int>(refusedBy().size()));
@@ -103,7 +104,7 @@
     setHeader(request.headers, kForwardedHeader, overflow ? m_context.region : kForwardedToOwner);
     m_connection = m_connections.acquire(m_dispatcher.address);
     const IntrusivePtr<RequestForwarder> self(this);
-    m_connection->send(serializeRequest(request), request.method == "HEAD", nullptr,
+    m_connection->send(serializeRequest(request, m_body), request.method == "HEAD", nullptr,
                        [self](TransferResult result, HttpResponse response) {
                            self->transferEnded(result, std::move(response));
                        });
--- a/src/gateway/internal/requestforwarder.h
+++ b/src/gateway/internal/requestforwarder.h
@@ -50,10 +50,11 @@
     RequestForwarder(GatewayContext &context, DispatcherSelector &selector,
                      InstanceConnections &connections, std::string attemptId);
 
-    /// Sends \a request to another dispatcher and calls \a done later, unless cancel() comes
-    /// before. Returns false, without a call, if there is no dispatcher for it. Precondition: no
-    /// earlier forwarding is under way.
-    bool start(HttpRequest request, const ForwardRequest &wanted, TimePoint deadline, Done done);
+    /// Sends \a request with \a body, in place of its own, to another dispatcher and calls \a done
+    /// later, unless cancel() comes before. Returns false, without a call, if there is no
+    /// dispatcher for it. Precondition: no earlier forwarding is under way.
+    bool start(HttpRequest request, SharedBody body, const ForwardRequest &wanted,
+               TimePoint deadline, Done done);
     /// Gives the request up. The dispatcher cancels it if it is idempotent.
     void cancel();
 
@@ -75,6 +76,7 @@
     InstanceConnections &m_connections;
     const std::string m_attemptId;
     HttpRequest m_request;
+    SharedBody m_body;
     ForwardRequest m_wanted;
     TimePoint m_deadline;
     int m_offersLeft = 0;
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -60,10 +60,15 @@
 {}
 
 void HttpClientConnection::send(std::string bytes, bool isHead, Filter filter, Done done)
+{
+    send(SerializedRequest{ std::move(bytes), {} }, isHead, std::move(filter), std::move(done));
+}
+
+void HttpClientConnection::send(SerializedRequest request, bool isHead, Filter filter, Done done)
 {
     m_parser.restart(isHead);
     m_droppedResponses = 0;
-    m_output = std::move(bytes);
+    m_output = std::move(request);
     m_filter = std::move(filter);
     m_done = std::move(done);
     if (m_connected)
@@ -127,7 +132,9 @@
     m_writing = true;
     m_sentWhole = false;
     const IntrusivePtr<HttpClientConnection> self(this);
-    asio::async_write(m_socket, asio::buffer(m_output), [self](asio::error_code ec, std::size_t) {
+    const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_output.head),
+                                                     asio::buffer(m_output.body.bytes) };
+    asio::async_write(m_socket, buffers, [self](asio::error_code ec, std::size_t) {
         // After a failed write the reading side ends the exchange; it first takes an answer that
         // came before.
         self->m_writing = false;
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -5,6 +5,7 @@
 #include "base/itimerservice.h"
 #include "estate/address.h"
 #include "http/httpmessageparser.h"
+#include "http/httpserialization.h"
 #include "http/responsememory.h"
 
 #include <asio/ip/tcp.hpp>
@@ -52,8 +53,10 @@
     HttpClientConnection(asio::io_context &context, ITimerService &timers, const IClock &clock,
                          const Address &address, const ClientConnectionOptions &options);
 
-    /// Sends \a bytes, connecting first if needed, and calls \a done once, unless close() comes
+    /// Sends \a request, connecting first if needed, and calls \a done once, unless close() comes
     /// before. Precondition: no exchange is running and isOpen().
+    void send(SerializedRequest request, bool isHead, Filter filter, Done done);
+    /// Sends a request of which \a bytes are head and body.
     void send(std::string bytes, bool isHead, Filter filter, Done done);
 
     /// Ends the connection without calling the done callback.
@@ -91,7 +94,7 @@
     HttpMessageParser m_parser;
     ResponseMemory::Share m_memory;
     std::array<char, 16384> m_buffer{};
-    std::string m_output;
+    SerializedRequest m_output;
     Filter m_filter;
     Done m_done;
     TimePoint m_idleSince;
--- a/src/http/httpserialization.cpp
+++ b/src/http/httpserialization.cpp
@@ -22,21 +22,31 @@
     return status == kNoContent || status == kNotModified;
 }
 
-} // namespace
-
-std::string serializeRequest(const HttpRequest &request)
+/// Returns the head of a request with a body of that size.
+std::string serializeRequestHead(const HttpRequest &request, std::size_t bodyBytes)
 {
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     appendHeaders(text, request.headers);
     const bool bodyExpected =
             request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    if (!request.body.empty() || bodyExpected)
-        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request.body.size());
+    if (bodyBytes > 0 || bodyExpected)
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", bodyBytes);
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
+} // namespace
+
+SerializedRequest serializeRequest(const HttpRequest &request, SharedBody body)
+{
+    return { serializeRequestHead(request, body.bytes.size()), std::move(body) };
+}
+
+std::string serializeRequest(const HttpRequest &request)
+{
+    return serializeRequestHead(request, request.body.size()) + request.body;
+}
+
 std::string serializeResponse(const HttpResponse &response, const HttpRequest &request, bool closes)
 {
     namespace http = boost::beast::http;
