Bound the memory that the messages of callers hold

Callers saw: a process that ended, or whole machines short of memory, while clients sent many large bodies and stayed; all requests on that machine were lost.

Cause: each message was bounded, all together were not: requests that are read, requests that run, and responses that wait for callers that do not read. What the allocator kept came on top: it raises its threshold for large blocks to the largest one freed, so that bodies are then taken from the heap and stay there. Ruled out: the responses of targets, which ResponseMemory bounds.

Change: MessageMemory, split from ResponseMemory, is the bound of a set of shares. CallerMemory is the one of all listeners of an event loop: a session counts what it reads and what it sends, an exchange its request. Above a quarter of the machine's memory the largest shares end first, those of requests in work last, so that ordinary callers stay: a request is refused with 503 as long as no target has it, fails otherwise, and a response that nobody reads is cut off. A single message within the limits is kept even if it is larger. Refusals of the listener itself are logged and counted like others.

Conclusion: what callers hold is bounded by the machine, not by the callers.

--- a/src/daemon/tests/daemoncrowdtest.cpp
+++ b/src/daemon/tests/daemoncrowdtest.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <filesystem>
+#include <iostream>
 #include <memory>
 #include <optional>
 
@@ -126,6 +127,7 @@
         CPPUNIT_ASSERT_MESSAGE("the process ended", m_daemon->isRunning());
         const std::size_t descriptors = m_daemon->descriptorCount();
         const std::size_t peak = m_daemon->peakMemory();
+        std::cout << fmt::format(" {} MB, {} descriptors ", peak / kMega, descriptors);
         CPPUNIT_ASSERT_MESSAGE(fmt::format("{} MB of {} MB", peak / kMega, kMaxMemory / kMega),
                                peak <= kMaxMemory);
         CPPUNIT_ASSERT_MESSAGE(fmt::format("{} descriptors", descriptors),
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,10 @@
     , m_startedAt(clock.now())
 {
     asio::use_service<ResponseMemory>(context).setLimit(m_settings.maxResponseMemory);
+    asio::use_service<CallerMemory>(context).setLimit(m_settings.maxCallerMemory);
+    m_listener.setRefusalWriter([this](const HttpRequest &request, int status, const char *reason) {
+        return refusal(request, status, reason);
+    });
     m_blackboard.configuration.subscribe(
             [this](const IntrusivePtr<const GatewayConfiguration> &it) {
                 configurationChanged(it);
@@ -107,8 +111,7 @@
 void Gateway::handle(const IntrusivePtr<HttpExchange> &exchange)
 {
     if (exchange->isOverLimit()) {
-        refuse(*exchange, httpstatus::kUnavailable, "too_many_connections",
-               m_context.protocol.readRequestMetadata(exchange->request()));
+        refuse(*exchange, httpstatus::kUnavailable, "too_many_connections");
         return;
     }
     // During a shutdown there is no time to wait for an up-to-date list.
@@ -129,21 +132,21 @@
     const RequestMetadata metadata = m_context.protocol.readRequestMetadata(request);
     const auto configuration = m_blackboard.configuration.read();
     if (!configuration) {
-        refuse(*exchange, httpstatus::kUnavailable, "no_configuration", metadata);
+        refuse(*exchange, httpstatus::kUnavailable, "no_configuration");
         return;
     }
     const std::string *host = findHeader(request.headers, "Host");
     if (!host || countHeader(request.headers, "Host") != 1) {
-        refuse(*exchange, httpstatus::kBadRequest, "no_host", metadata);
+        refuse(*exchange, httpstatus::kBadRequest, "no_host");
         return;
     }
     const Route *route = findRoute(*configuration, normalizedHost(*host), request.path());
     if (!route) {
-        refuse(*exchange, httpstatus::kNotFound, "no_route", metadata);
+        refuse(*exchange, httpstatus::kNotFound, "no_route");
         return;
     }
     if (m_shutdown && !m_shutdown->mayAccept(m_context.clock.now(), route->timeout)) {
-        refuse(*exchange, httpstatus::kUnavailable, "leaving", metadata);
+        refuse(*exchange, httpstatus::kUnavailable, "leaving");
         return;
     }
     const WeightedService &weighted = chooseService(*route, m_context.random);
@@ -163,25 +166,29 @@
     return std::min(full - *metadata.deadline, route.targetLatency);
 }
 
-void Gateway::refuse(HttpExchange &exchange, int status, const char *reason,
-                     const RequestMetadata &metadata)
+void Gateway::refuse(HttpExchange &exchange, int status, const char *reason)
+{
+    exchange.respond(refusal(exchange.request(), status, reason));
+}
+
+HttpResponse Gateway::refusal(const HttpRequest &request, int status, const char *reason)
 {
     HttpResponse response =
             jsonResponse(status, fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", reason));
     if (status == httpstatus::kUnavailable)
         response.headers.push_back({ "Retry-After", kRetryAfterSeconds });
-    if (isForwarded(exchange.request()))
+    if (isForwarded(request))
         response.headers.push_back({ kForwardOutcomeHeader, kNotRunOutcome });
     LogFields fields("refused");
     const auto configuration = m_blackboard.configuration.read();
-    fields.add("request", metadata.attemptId)
-            .add("target", exchange.request().path())
+    fields.add("request", m_context.protocol.readRequestMetadata(request).attemptId)
+            .add("target", request.path())
             .add("reason", reason)
             .add("status", status)
             .add("config", static_cast<std::int64_t>(configuration ? configuration->version : 0));
     m_log.write(fields);
     m_metrics.countRequest("none", reason);
-    exchange.respond(response);
+    return response;
 }
 
 std::vector<Address> Gateway::addressesFor(const AddressQuery &query)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,9 @@
     Duration gracePeriod = std::chrono::seconds(6);
     /// Connections of callers that are served; further callers are refused.
     std::size_t maxCallerConnections = 2000;
+    /// Bytes that requests, and responses that wait for their callers, may take together; see
+    /// CallerMemory.
+    std::size_t maxCallerMemory = 64UL << 20U;
     /// Bytes that responses which are not complete may take together; see ResponseMemory.
     std::size_t maxResponseMemory = 64UL << 20U;
     /// Log lines for request decisions per second; lines above the limit are only counted.
@@ -94,8 +97,9 @@
     /// Estimates how long the caller has waited in earlier tries from how much shorter its deadline
     /// is than the longest one seen for the route.
     Duration previousWait(const Route &route, const RequestMetadata &metadata);
-    void refuse(HttpExchange &exchange, int status, const char *reason,
-                const RequestMetadata &metadata);
+    void refuse(HttpExchange &exchange, int status, const char *reason);
+    /// Logs and counts a refusal and returns its response.
+    HttpResponse refusal(const HttpRequest &request, int status, const char *reason);
     /// Draws whether the caller stays in its region although part of its requests must leave it.
     bool staysInRegion(const GatewayConfiguration &configuration, const AddressQuery &query);
     void configurationChanged(const IntrusivePtr<const GatewayConfiguration> &configuration);
--- a/src/gateway/gatewayoptions.cpp
+++ b/src/gateway/gatewayoptions.cpp
@@ -77,6 +77,9 @@
 // Part of the memory that responses may take while they are read. A response that grows takes
 // twice as much for a moment, and complete ones wait for their callers.
 constexpr std::size_t kResponseMemoryDivisor = 5;
+// Part of the memory that requests and answered responses may take. One that grows takes twice as
+// much for a moment, and a single one may be as large as the configuration allows.
+constexpr std::size_t kCallerMemoryDivisor = 4;
 constexpr std::size_t kMinConnections = 64;
 
 } // namespace
@@ -90,6 +93,11 @@
     return std::max(kMinConnections, std::min(byDescriptors, byMemory));
 }
 
+std::size_t callerMemoryLimit(std::size_t memoryBytes)
+{
+    return memoryBytes / kCallerMemoryDivisor;
+}
+
 std::size_t responseMemoryLimit(std::size_t memoryBytes)
 {
     return memoryBytes / kResponseMemoryDivisor;
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -105,6 +105,7 @@
     if (!admit())
         return;
     m_exchange->onCallerGone([self] { self->callerDisconnected(); });
+    m_exchange->onMemoryNeeded([self] { self->memoryNeeded(); });
     m_context.requests.pushBack(this);
     setDeadlineTimer();
     // The instance that forwarded the request has counted it.
@@ -209,6 +210,7 @@
         const std::string answered = protocol.readResponseMetadata(response).attemptId;
         return answered.empty() || answered == id;
     };
+    m_exchange->setInUse();
     attempt->connection->send(serializeRequest(request, body()), request.method == "HEAD", isOurs,
                               [self, attempt](TransferResult result, HttpResponse response) {
                                   self->transferEnded(attempt, result, std::move(response));
@@ -345,6 +347,16 @@
 }
 
 void ProxiedRequest::deadlineExpired()
+{
+    giveUp("deadline");
+}
+
+void ProxiedRequest::memoryNeeded()
+{
+    giveUp("out_of_memory");
+}
+
+void ProxiedRequest::giveUp(const char *reason)
 {
     const IntrusivePtr<ProxiedRequest> self(this);
     if (m_ended)
@@ -352,7 +364,7 @@
     leaveQueue();
     abandonForwarding();
     abandonAttempts();
-    refuse("deadline", kRefusalRetryAfter);
+    refuse(reason, kRefusalRetryAfter);
 }
 
 void ProxiedRequest::callerDisconnected()
@@ -477,6 +489,7 @@
     m_deadlineTimer.reset();
     m_verdictTimer.reset();
     m_exchange->onCallerGone(nullptr);
+    m_exchange->onMemoryNeeded(nullptr);
 }
 
 LogFields ProxiedRequest::logFields(const char *event) const
--- a/src/gateway/internal/proxiedrequest.h
+++ b/src/gateway/internal/proxiedrequest.h
@@ -88,6 +88,10 @@
     bool waitForVerdict(const char *failure);
     void hedgeDelayEnded(const AttemptPtr &attempt);
     void deadlineExpired();
+    /// Ends the request, since its memory is needed for others.
+    void memoryNeeded();
+    /// Ends everything that was started for the request, and refuses it.
+    void giveUp(const char *reason);
     void callerDisconnected();
     bool isIdempotent() const
     {
--- a/src/gateway/internal/proxiedrequestforwarding.cpp
+++ b/src/gateway/internal/proxiedrequestforwarding.cpp
@@ -12,6 +12,7 @@
                                  m_queuedRequest.objective - m_dispatcher.baselineServiceTime() };
     const IntrusivePtr<ProxiedRequest> self(this);
     m_forwardReason = reason;
+    m_exchange->setInUse();
     return m_forwarder->start(
             endToEndRequest(), body(), wanted, m_queuedRequest.deadline,
             [self](ForwardOutcome outcome, HttpResponse response, Duration retryAfter) {
--- a/src/gateway/tests/gatewayoptionstest.cpp
+++ b/src/gateway/tests/gatewayoptionstest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(errorsNameTheInvalidSetting);
     CPPUNIT_TEST(callerConnectionsFollowTheResources);
     CPPUNIT_TEST(responseMemoryFollowsTheResources);
+    CPPUNIT_TEST(callerMemoryFollowsTheResources);
     CPPUNIT_TEST_SUITE_END();
 
     static GatewayOptionsRequest read(std::vector<std::string> arguments,
@@ -86,6 +87,19 @@
         CPPUNIT_ASSERT(responseMemoryLimit(260 * kMegabyte) < 260 * kMegabyte / 4);
         CPPUNIT_ASSERT(responseMemoryLimit(64 * kMegabyte) > 8 * kMegabyte);
     }
+
+    // Guards against bounds that add up to more than a small instance has: all of them, a large
+    // message that is copied while it grows, and the process itself.
+    void callerMemoryFollowsTheResources()
+    {
+        constexpr std::size_t kMegabyte = 1UL << 20U;
+        for (const std::size_t megabytes : { 160, 260, 512 }) {
+            const std::size_t memory = megabytes * kMegabyte;
+            const std::size_t callers = callerMemoryLimit(memory);
+            CPPUNIT_ASSERT(2 * callers + responseMemoryLimit(memory) < memory - 30 * kMegabyte);
+            CPPUNIT_ASSERT(callers > 300 * 100 * 1024);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayOptionsTest);
--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "http/httplistener.h"
 
+#include "http/httpstatus.h"
 #include "http/internal/httpsession.h"
 
 #include <fmt/format.h>
@@ -23,6 +24,7 @@
 HttpExchange::HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request)
     : m_session(std::move(session))
     , m_request(std::move(request))
+    , m_memory(m_session->memory(), [this] { releaseForOthers(); })
 {}
 
 HttpExchange::~HttpExchange()
@@ -35,9 +37,27 @@
     return m_session->isOverLimit();
 }
 
+void HttpExchange::holdMemory()
+{
+    m_memory.resize(heldBytes(m_request));
+}
+
+void HttpExchange::releaseForOthers()
+{
+    const IntrusivePtr<HttpExchange> self(this);
+    m_memory.resize(0);
+    const auto callback = std::move(m_memoryNeeded);
+    m_memoryNeeded = nullptr;
+    if (callback)
+        callback();
+    else
+        m_session->refuse(*this, httpstatus::kUnavailable, "out_of_memory");
+}
+
 void HttpExchange::respond(const HttpResponse &response, bool closes)
 {
     m_callerGone = nullptr;
+    m_memoryNeeded = nullptr;
     m_session->respond(*this, response, closes);
 }
 
@@ -46,6 +66,7 @@
     : m_context(context)
     , m_clock(clock)
     , m_handler(std::move(handler))
+    , m_memory(asio::use_service<CallerMemory>(context))
     , m_acceptor(context)
     , m_timers(timers)
 {}
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -4,6 +4,7 @@
 #include "base/intrusiveptr.h"
 #include "base/itimerservice.h"
 #include "estate/address.h"
+#include "http/callermemory.h"
 #include "http/httpmessageparser.h"
 
 #include <absl/status/status.h>
@@ -38,13 +39,24 @@
     /// Calls \a callback once if the caller ends the connection before the response. Precondition:
     /// isCallerGone() is false.
     void onCallerGone(std::function<void()> callback) { m_callerGone = std::move(callback); }
+    /// Calls \a callback, which must respond, if the memory of the request is needed for others;
+    /// see CallerMemory. Without a callback the request is refused.
+    void onMemoryNeeded(std::function<void()> callback) { m_memoryNeeded = std::move(callback); }
+    /// Tells that work on the request has begun, so that others are ended for their memory first.
+    void setInUse() { m_memory.setInUse(); }
 
 private:
     friend class HttpSession;
 
+    /// Counts the memory of the request. It may be refused at once.
+    void holdMemory();
+    void releaseForOthers();
+
     IntrusivePtr<HttpSession> m_session;
     const HttpRequest m_request;
     std::function<void()> m_callerGone;
+    std::function<void()> m_memoryNeeded;
+    MessageMemory::Share m_memory;
     bool m_isCallerGone = false;
 };
 
@@ -72,6 +84,10 @@
 {
 public:
     using Handler = std::function<void(const IntrusivePtr<HttpExchange> &exchange)>;
+    /// Returns the response to a request that the listener refuses itself. The request may be
+    /// incomplete; \a reason is a word for logs.
+    using RefusalWriter =
+            std::function<HttpResponse(const HttpRequest &request, int status, const char *reason)>;
 
     HttpListener(asio::io_context &context, ITimerService &timers, const IClock &clock,
                  Handler handler);
@@ -88,6 +104,8 @@
     /// From now on every response ends its connection.
     void closeAfterResponses() { m_closesAfterResponses = true; }
 
+    /// Without a writer, refusals have no body.
+    void setRefusalWriter(RefusalWriter writer) { m_refusalWriter = std::move(writer); }
     void setLimits(const HttpListenerLimits &limits) { m_limits = limits; }
     const HttpListenerLimits &limits() const { return m_limits; }
 
@@ -109,6 +127,8 @@
     asio::io_context &m_context;
     const IClock &m_clock;
     const Handler m_handler;
+    RefusalWriter m_refusalWriter;
+    CallerMemory &m_memory;
     HttpListenerLimits m_limits;
     asio::ip::tcp::acceptor m_acceptor;
     TimerSubscription m_sweep;
--- a/src/http/httpmessageparser.h
+++ b/src/http/httpmessageparser.h
@@ -58,7 +58,8 @@
 
     /// Head and body of the request as far as they were read.
     const HttpRequest &request() const { return m_request; }
-    /// Precondition: the parser reads requests and state() is Complete.
+    /// Gives up what was read of the request. Precondition: the parser reads requests and
+    /// restart() comes next.
     HttpRequest takeRequest() { return std::move(m_request); }
     /// Precondition: the parser reads responses and state() is Complete.
     HttpResponse takeResponse() { return std::move(m_response); }
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -28,6 +28,8 @@
 
 HttpSession::HttpSession(HttpListener &listener, asio::ip::tcp::socket socket, bool overLimit)
     : m_listener(&listener)
+    , m_callerMemory(listener.m_memory)
+    , m_memory(m_callerMemory, [this] { releaseForOthers(); })
     , m_socket(std::move(socket))
     , m_parser(HttpMessageParser::Kind::Request, listener.m_limits.message)
     , m_since(listener.m_clock.now())
@@ -56,6 +58,9 @@
     release(); // the listener's reference
     asio::error_code ec;
     m_socket.close(ec);
+    m_parser.restart();
+    releaseMemory(m_input);
+    m_memory.resize(0);
 }
 
 void HttpSession::exchangeEnded(const HttpExchange &exchange)
@@ -109,12 +114,38 @@
         callerGone();
         return;
     }
+    if (m_refused) {
+        read();
+        return;
+    }
     m_input.append(m_buffer.data(), n);
     if (!m_exchange && !m_writing)
         parse();
+    holdMemory();
     read();
 }
 
+void HttpSession::holdMemory()
+{
+    if (!m_listener)
+        return;
+    if (m_input.empty())
+        releaseMemory(m_input);
+    m_memory.resize(m_parser.heldBytes() + m_input.capacity() + m_output.capacity());
+}
+
+void HttpSession::releaseForOthers()
+{
+    const IntrusivePtr<HttpSession> self(this);
+    m_memory.resize(0);
+    if (m_exchange || m_writing || !m_parser.isHeadComplete()) {
+        close();
+        callerGone();
+        return;
+    }
+    refuse(httpstatus::kUnavailable, "out_of_memory");
+}
+
 void HttpSession::parse()
 {
     const bool wasStarted = m_parser.hasStarted();
@@ -137,6 +168,11 @@
         reject(m_parser.state());
         return;
     }
+    handleRequest();
+}
+
+void HttpSession::handleRequest()
+{
     // After a delay in the network or here, the request and the end of its caller come together.
     if (m_input.empty() && isClosedByPeer(m_socket)) {
         close();
@@ -149,17 +185,42 @@
     m_parser.restart();
     m_exchange = exchange.get();
     ++m_listener->m_pendingCount;
-    m_listener->m_handler(exchange);
+    holdMemory(); // less, since the exchange holds the request now
+    exchange->holdMemory();
+    if (m_exchange == exchange.get())
+        m_listener->m_handler(exchange);
 }
 
 void HttpSession::reject(HttpMessageParser::State state)
 {
-    int status = httpstatus::kBadRequest;
     if (state == HttpMessageParser::State::BodyTooLarge)
-        status = httpstatus::kContentTooLarge;
-    if (state == HttpMessageParser::State::HeadTooLarge)
-        status = httpstatus::kHeadTooLarge;
-    write(serializeResponse(HttpResponse{ status, {}, {} }, HttpRequest{}, true), true);
+        refuse(httpstatus::kContentTooLarge, "body_too_large");
+    else if (state == HttpMessageParser::State::HeadTooLarge)
+        refuse(httpstatus::kHeadTooLarge, "head_too_large");
+    else
+        refuse(httpstatus::kBadRequest, "malformed_request");
+}
+
+void HttpSession::refuse(int status, const char *reason)
+{
+    const HttpRequest request = m_parser.takeRequest();
+    m_refused = true;
+    m_parser.restart();
+    releaseMemory(m_input);
+    const auto &writer = m_listener->m_refusalWriter;
+    const HttpResponse response =
+            writer ? writer(request, status, reason) : HttpResponse{ status, {}, {} };
+    write(serializeResponse(response, request, true), true);
+}
+
+void HttpSession::refuse(const HttpExchange &exchange, int status, const char *reason)
+{
+    if (m_exchange != &exchange || !m_listener)
+        return;
+    const auto &writer = m_listener->m_refusalWriter;
+    respond(exchange,
+            writer ? writer(exchange.request(), status, reason) : HttpResponse{ status, {}, {} },
+            true);
 }
 
 void HttpSession::respond(const HttpExchange &exchange, const HttpResponse &response, bool closes)
@@ -176,15 +237,19 @@
 
 void HttpSession::write(std::string bytes, bool closes)
 {
+    const IntrusivePtr<HttpSession> self(this);
     m_writing = true;
     m_output = std::move(bytes);
-    const IntrusivePtr<HttpSession> self(this);
+    holdMemory();
+    if (!m_listener)
+        return;
     asio::async_write(
             m_socket, asio::buffer(m_output), [self, closes](asio::error_code ec, std::size_t) {
                 self->m_writing = false;
                 releaseMemory(self->m_output);
                 if (!self->m_listener)
                     return;
+                self->holdMemory();
                 if (ec || closes) {
                     asio::error_code ignored; // the peer may have closed first
                     self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -193,8 +258,10 @@
                 }
                 self->m_since = self->m_listener->m_clock.now();
                 self->moveToBack();
-                if (!self->m_input.empty())
+                if (!self->m_input.empty()) {
                     self->parse();
+                    self->holdMemory();
+                }
                 self->read();
             });
 }
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -17,6 +17,8 @@
 
     void start();
     void respond(const HttpExchange &exchange, const HttpResponse &response, bool closes);
+    /// Refuses a request that waits for its response; the connection ends after it.
+    void refuse(const HttpExchange &exchange, int status, const char *reason);
     void close();
     /// Ends the connection if the exchange was not answered.
     void exchangeEnded(const HttpExchange &exchange);
@@ -25,12 +27,19 @@
     /// True if the connection carries no request, nor a part of one, for at least \a span.
     bool isIdle(TimePoint now, Duration span) const;
     bool isOverLimit() const { return m_overLimit; }
+    CallerMemory &memory() const { return m_callerMemory; }
 
 private:
     void read();
     void onRead(asio::error_code ec, std::size_t n);
     void parse();
+    void handleRequest();
     void reject(HttpMessageParser::State state);
+    /// Refuses the request that is being read. What follows it is not read.
+    void refuse(int status, const char *reason);
+    /// Counts the memory that the session holds. It may end the session.
+    void holdMemory();
+    void releaseForOthers();
     void write(std::string bytes, bool closes);
     void callerGone();
     /// Marks the session as the one used last.
@@ -38,6 +47,8 @@
 
     /// Null once the connection is closed.
     HttpListener *m_listener;
+    CallerMemory &m_callerMemory;
+    MessageMemory::Share m_memory;
     asio::ip::tcp::socket m_socket;
     HttpMessageParser m_parser;
     std::array<char, 8192> m_buffer{};
@@ -50,6 +61,8 @@
     bool m_reading = false;
     bool m_lastRequest = false;
     bool m_writing = false;
+    /// The response that is being sent refuses a request that was not read to its end.
+    bool m_refused = false;
 };
 
 } // namespace lycheebay
--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -78,6 +78,15 @@
 
 } // namespace
 
+std::size_t heldBytes(const HttpRequest &request)
+{
+    std::size_t bytes = request.method.size() + request.target.size() + request.body.size()
+                        + request.headers.capacity() * sizeof(HttpHeader);
+    for (const HttpHeader &it : request.headers)
+        bytes += it.name.size() + it.value.size();
+    return bytes;
+}
+
 bool sameHeaderName(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
--- a/src/outcomes/httpmessage.h
+++ b/src/outcomes/httpmessage.h
@@ -32,6 +32,9 @@
     auto operator<=>(const HttpRequest &) const = default;
 };
 
+/// Returns the memory that a request holds, in bytes. Thread-safe.
+std::size_t heldBytes(const HttpRequest &request);
+
 struct HttpResponse
 {
     int status = 200;
