Send interim responses without blocking the event loop

Callers saw: a process that answers nobody any more, for as long as one caller that asks for leave to send a body (Expect: 100-continue) reads nothing.

Cause: "100 Continue" was sent by a blocking call. When the buffer of the connection is full, the call waits for the caller, and with it every other connection of the loop.

Change: HttpSession sends it like a response, and goes on with the body when it is sent.

--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -157,10 +157,7 @@
         // The caller waits for leave to send its body (RFC 9110, 10.1.1).
         if (!headWasComplete && m_parser.isHeadComplete()
             && findHeader(m_parser.request().headers, "Expect")) {
-            asio::error_code ec;
-            asio::write(m_socket, asio::buffer(kContinue), ec);
-            if (ec)
-                close();
+            write(std::string(kContinue), AfterWrite::ReadBody);
         }
         return;
     }
@@ -210,7 +207,7 @@
     const auto &writer = m_listener->m_refusalWriter;
     const HttpResponse response =
             writer ? writer(request, status, reason) : HttpResponse{ status, {}, {} };
-    write(serializeResponse(response, request, true), true);
+    write(serializeResponse(response, request, true), AfterWrite::Close);
 }
 
 void HttpSession::refuse(const HttpExchange &exchange, int status, const char *reason)
@@ -232,10 +229,11 @@
         return;
     --m_listener->m_pendingCount;
     const bool last = closes || m_lastRequest || m_listener->m_closesAfterResponses;
-    write(serializeResponse(response, exchange.request(), last), last);
+    write(serializeResponse(response, exchange.request(), last),
+          last ? AfterWrite::Close : AfterWrite::NextRequest);
 }
 
-void HttpSession::write(std::string bytes, bool closes)
+void HttpSession::write(std::string bytes, AfterWrite next)
 {
     const IntrusivePtr<HttpSession> self(this);
     m_writing = true;
@@ -243,27 +241,37 @@
     holdMemory();
     if (!m_listener)
         return;
-    asio::async_write(
-            m_socket, asio::buffer(m_output), [self, closes](asio::error_code ec, std::size_t) {
-                self->m_writing = false;
-                releaseMemory(self->m_output);
-                if (!self->m_listener)
-                    return;
-                self->holdMemory();
-                if (ec || closes) {
-                    asio::error_code ignored; // the peer may have closed first
-                    self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-                    self->close();
-                    return;
-                }
-                self->m_since = self->m_listener->m_clock.now();
-                self->moveToBack();
-                if (!self->m_input.empty()) {
-                    self->parse();
-                    self->holdMemory();
-                }
-                self->read();
-            });
+    asio::async_write(m_socket, asio::buffer(m_output),
+                      [self, next](asio::error_code ec, std::size_t) {
+                          self->m_writing = false;
+                          releaseMemory(self->m_output);
+                          if (!self->m_listener)
+                              return;
+                          if (ec)
+                              self->close();
+                          else
+                              self->written(next);
+                      });
+}
+
+void HttpSession::written(AfterWrite next)
+{
+    holdMemory();
+    if (next == AfterWrite::Close) {
+        asio::error_code ec; // the peer may have closed first
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+        close();
+        return;
+    }
+    if (next == AfterWrite::NextRequest) {
+        m_since = m_listener->m_clock.now();
+        moveToBack();
+    }
+    if (!m_input.empty()) {
+        parse();
+        holdMemory();
+    }
+    read();
 }
 
 void HttpSession::callerGone()
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -30,6 +30,9 @@
     CallerMemory &memory() const { return m_callerMemory; }
 
 private:
+    /// What follows when bytes have been sent.
+    enum class AfterWrite { ReadBody, NextRequest, Close };
+
     void read();
     void onRead(asio::error_code ec, std::size_t n);
     void parse();
@@ -40,7 +43,8 @@
     /// Counts the memory that the session holds. It may end the session.
     void holdMemory();
     void releaseForOthers();
-    void write(std::string bytes, bool closes);
+    void write(std::string bytes, AfterWrite next);
+    void written(AfterWrite next);
     void callerGone();
     /// Marks the session as the one used last.
     void moveToBack();
