Give a body the time that its caller has, not that of the head

Callers saw, also in calm: a request whose head comes at once and whose body takes longer than header_timeout gets no answer; its connection is closed.

Cause: HttpListenerLimits::request bounded the time from the first byte of a request to its last, and was set to the time that the configuration gives the head.

Change: "head" bounds the head. The body has as long as its caller waits for the response: the deadline that the request names, else the timeout of its route, at most 60 s (HttpListenerLimits::body). A body that takes longer gets 408, which is true: the request has not run. The deadline of a request counts from the end of its head, so that targets are not told the time that the body took.

Conclusion: a slow body is served, and its time is still bounded.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,6 +45,7 @@
 {
     asio::use_service<ResponseMemory>(context).setLimit(m_settings.maxResponseMemory);
     asio::use_service<CallerMemory>(context).setLimit(m_settings.maxCallerMemory);
+    m_listener.setBodyTime([this](const HttpRequest &head) { return bodyTime(head); });
     m_listener.setRefusalWriter([this](const HttpRequest &request, int status, const char *reason) {
         return refusal(request, status, reason);
     });
@@ -157,6 +158,19 @@
             ->start();
 }
 
+Duration Gateway::bodyTime(const HttpRequest &head) const
+{
+    const RequestMetadata metadata = m_context.protocol.readRequestMetadata(head);
+    if (metadata.deadline)
+        return *metadata.deadline;
+    const auto configuration = m_blackboard.configuration.read();
+    const std::string *host = findHeader(head.headers, "Host");
+    const Route *route = nullptr;
+    if (configuration && host)
+        route = findRoute(*configuration, normalizedHost(*host), head.path());
+    return route ? route->timeout : m_listener.limits().head;
+}
+
 Duration Gateway::previousWait(const Route &route, const RequestMetadata &metadata)
 {
     if (!metadata.deadline)
@@ -240,7 +254,7 @@
 {
     HttpListenerLimits limits = m_listener.limits();
     limits.message = { configuration->limits.headBytes, configuration->limits.bodyBytes };
-    limits.request = configuration->limits.headTimeout;
+    limits.head = configuration->limits.headTimeout;
     limits.idle = configuration->limits.idleTimeout;
     m_listener.setLimits(limits);
     for (const RoutedHost &host : configuration->hosts) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,6 +93,8 @@
 
 private:
     void handle(const IntrusivePtr<HttpExchange> &exchange);
+    /// Time that the body of a request may take: as long as the caller waits for the response.
+    Duration bodyTime(const HttpRequest &head) const;
     void proxy(const IntrusivePtr<HttpExchange> &exchange);
     /// Estimates how long the caller has waited in earlier tries from how much shorter its deadline
     /// is than the longest one seen for the route.
--- a/src/gateway/internal/proxiedrequest.cpp
+++ b/src/gateway/internal/proxiedrequest.cpp
@@ -93,8 +93,10 @@
     m_queuedRequest.objective = now + route.targetLatency - previousWait;
     m_queuedRequest.refuseAt =
             std::max(m_queuedRequest.objective, now + route.targetLatency / kLateWaitDivisor);
-    m_queuedRequest.deadline =
-            now + std::min(metadata.deadline.value_or(route.timeout), route.timeout);
+    // The caller's time has run while the body was read.
+    const Duration callerWaits =
+            metadata.deadline.value_or(Duration::max()) - (now - m_exchange->headAt());
+    m_queuedRequest.deadline = now + std::min(callerWaits, route.timeout);
     m_queuedRequest.homeRegions = route.homeRegions;
     m_queuedRequest.mayLeave = !m_isForwarded;
 }
--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -21,9 +21,10 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request)
+HttpExchange::HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request, TimePoint headAt)
     : m_session(std::move(session))
     , m_request(std::move(request))
+    , m_headAt(headAt)
     , m_memory(m_session->memory(), [this] { releaseForOthers(); })
 {}
 
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -21,12 +21,15 @@
 class HttpExchange final : public RefCounted
 {
 public:
-    HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request);
+    /// \a headAt is when the head of the request was complete.
+    HttpExchange(IntrusivePtr<HttpSession> session, HttpRequest request, TimePoint headAt);
     ~HttpExchange() override;
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     const HttpRequest &request() const { return m_request; }
+    /// When the head of the request was complete; the body may have come much later.
+    TimePoint headAt() const { return m_headAt; }
     /// True if the connection was accepted over the limit of the listener. The request should be
     /// refused without work; the connection ends after the response.
     bool isOverLimit() const;
@@ -54,6 +57,7 @@
 
     IntrusivePtr<HttpSession> m_session;
     const HttpRequest m_request;
+    const TimePoint m_headAt;
     std::function<void()> m_callerGone;
     std::function<void()> m_memoryNeeded;
     MessageMemory::Share m_memory;
@@ -64,8 +68,10 @@
 struct HttpListenerLimits
 {
     HttpMessageLimits message;
-    /// Longest time from the first byte of a request to its last.
-    Duration request = std::chrono::seconds(10);
+    /// Longest time from the first byte of a request to the end of its head.
+    Duration head = std::chrono::seconds(10);
+    /// Longest time from the end of the head to the last byte of the body.
+    Duration body = std::chrono::seconds(60);
     /// Longest time without a request on an open connection.
     Duration idle = std::chrono::seconds(60);
     /// Connections that are served. At the limit, a new connection takes the place of one that has
@@ -89,6 +95,9 @@
     using RefusalWriter =
             std::function<HttpResponse(const HttpRequest &request, int status, const char *reason)>;
 
+    /// Returns how long the body of a request with this head may take.
+    using BodyTime = std::function<Duration(const HttpRequest &head)>;
+
     HttpListener(asio::io_context &context, ITimerService &timers, const IClock &clock,
                  Handler handler);
     ~HttpListener();
@@ -104,6 +113,8 @@
     /// From now on every response ends its connection.
     void closeAfterResponses() { m_closesAfterResponses = true; }
 
+    /// Sets a function that may shorten the time for the body of a request.
+    void setBodyTime(BodyTime bodyTime) { m_bodyTime = std::move(bodyTime); }
     /// Without a writer, refusals have no body.
     void setRefusalWriter(RefusalWriter writer) { m_refusalWriter = std::move(writer); }
     void setLimits(const HttpListenerLimits &limits) { m_limits = limits; }
@@ -128,6 +139,7 @@
     const IClock &m_clock;
     const Handler m_handler;
     RefusalWriter m_refusalWriter;
+    BodyTime m_bodyTime;
     CallerMemory &m_memory;
     HttpListenerLimits m_limits;
     asio::ip::tcp::acceptor m_acceptor;
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -8,6 +8,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace lycheebay {
 
 namespace {
@@ -75,10 +77,15 @@
 {
     if (m_exchange || m_writing)
         return;
-    const HttpListenerLimits &limits = m_listener->m_limits;
-    const bool midRequest = m_parser.hasStarted();
-    if (now - m_since > (midRequest ? limits.request : limits.idle))
-        close();
+    if (!m_parser.hasStarted()) {
+        if (now - m_since > m_listener->m_limits.idle)
+            close();
+    } else if (now > m_expiresAt) {
+        if (m_isHeadRead)
+            refuse(httpstatus::kRequestTimeout, "body_too_slow");
+        else
+            close();
+    }
 }
 
 bool HttpSession::isIdle(TimePoint now, Duration span) const
@@ -149,18 +156,16 @@
 void HttpSession::parse()
 {
     const bool wasStarted = m_parser.hasStarted();
-    const bool headWasComplete = m_parser.isHeadComplete();
     m_input.erase(0, m_parser.feed(m_input));
-    if (!wasStarted && m_parser.hasStarted())
+    if (!wasStarted && m_parser.hasStarted()) {
         m_since = m_listener->m_clock.now();
-    if (m_parser.state() == HttpMessageParser::State::Incomplete) {
-        // The caller waits for leave to send its body (RFC 9110, 10.1.1).
-        if (!headWasComplete && m_parser.isHeadComplete()
-            && findHeader(m_parser.request().headers, "Expect")) {
-            write(std::string(kContinue), AfterWrite::ReadBody);
-        }
-        return;
+        m_expiresAt = m_since + m_listener->m_limits.head;
+        m_isHeadRead = false;
     }
+    if (!m_isHeadRead && m_parser.isHeadComplete())
+        headRead();
+    if (m_parser.state() == HttpMessageParser::State::Incomplete)
+        return;
     if (m_parser.state() != HttpMessageParser::State::Complete) {
         reject(m_parser.state());
         return;
@@ -168,6 +173,22 @@
     handleRequest();
 }
 
+void HttpSession::headRead()
+{
+    m_isHeadRead = true;
+    m_headAt = m_listener->m_clock.now();
+    if (m_parser.state() != HttpMessageParser::State::Incomplete)
+        return;
+    const HttpRequest &head = m_parser.request();
+    Duration left = m_listener->m_limits.body;
+    if (m_listener->m_bodyTime)
+        left = std::min(left, m_listener->m_bodyTime(head));
+    m_expiresAt = m_headAt + left;
+    // The caller waits for leave to send its body (RFC 9110, 10.1.1).
+    if (findHeader(head.headers, "Expect"))
+        write(std::string(kContinue), AfterWrite::ReadBody);
+}
+
 void HttpSession::handleRequest()
 {
     // After a delay in the network or here, the request and the end of its caller come together.
@@ -177,8 +198,8 @@
     }
     m_lastRequest = !m_parser.isKeepAlive() || m_overLimit;
     moveToBack();
-    const auto exchange =
-            makeRef<HttpExchange>(IntrusivePtr<HttpSession>(this), m_parser.takeRequest());
+    const auto exchange = makeRef<HttpExchange>(IntrusivePtr<HttpSession>(this),
+                                                m_parser.takeRequest(), m_headAt);
     m_parser.restart();
     m_exchange = exchange.get();
     ++m_listener->m_pendingCount;
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -36,6 +36,7 @@
     void read();
     void onRead(asio::error_code ec, std::size_t n);
     void parse();
+    void headRead();
     void handleRequest();
     void reject(HttpMessageParser::State state);
     /// Refuses the request that is being read. What follows it is not read.
@@ -60,8 +61,13 @@
     std::string m_output;
     /// The request that runs; it holds a reference to this session.
     HttpExchange *m_exchange = nullptr;
+    /// Start of the request that is read, or of the time without one.
     TimePoint m_since;
+    TimePoint m_headAt;
+    /// When the request that is read must be complete.
+    TimePoint m_expiresAt;
     const bool m_overLimit;
+    bool m_isHeadRead = false;
     bool m_reading = false;
     bool m_lastRequest = false;
     bool m_writing = false;
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -19,6 +19,7 @@
 class CallerLimitsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(CallerLimitsTest);
+    CPPUNIT_TEST(slowBodyIsNotHeldToTheTimeOfTheHead);
     CPPUNIT_TEST(interimResponseDoesNotStopTheLoop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,19 @@
 public:
     void tearDown() override { m_listener.reset(); }
 
+    void slowBodyIsNotHeldToTheTimeOfTheHead()
+    {
+        HttpListenerLimits limits;
+        limits.head = 100ms;
+        serve(&CallerLimitsTest::respondOk, limits);
+        asio::io_context context;
+        Socket caller = connect(context);
+        send(caller, post(2) + "a");
+        m_loop.runFor(1500ms);
+        send(caller, "b");
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK"), firstLine(caller));
+    }
+
     // Fills the buffer of a connection with small responses until the listener cannot send, many
     // times, so that the interim response is what finds no room now and then.
     void interimResponseDoesNotStopTheLoop()
