Close connections whose callers take no byte of a response

Callers saw: the memory and the connections of an instance held by callers that read no responses, for as long as they like.

Cause: HttpSession::closeIfExpired() returned at once while something was being sent.

Change: a connection whose caller has taken no byte for the idle time is closed. Callers that read slowly keep theirs.

Conclusion: each state of a connection that waits for its caller has a limit of time.

--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -72,7 +72,8 @@
     Duration head = std::chrono::seconds(10);
     /// Longest time from the end of the head to the last byte of the body.
     Duration body = std::chrono::seconds(60);
-    /// Longest time without a request on an open connection.
+    /// Longest time without a request on an open connection, and longest time in which a caller
+    /// takes no byte of a response.
     Duration idle = std::chrono::seconds(60);
     /// Connections that are served. At the limit, a new connection takes the place of one that has
     /// been idle for long. If none is idle, the new one is accepted over the limit, so that its
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdint>
 
 namespace lycheebay {
 
@@ -75,9 +76,12 @@
 
 void HttpSession::closeIfExpired(TimePoint now)
 {
-    if (m_exchange || m_writing)
+    if (m_exchange)
         return;
-    if (!m_parser.hasStarted()) {
+    if (m_writing) {
+        if (now - m_takenAt > m_listener->m_limits.idle)
+            close();
+    } else if (!m_parser.hasStarted()) {
         if (now - m_since > m_listener->m_limits.idle)
             close();
     } else if (now > m_expiresAt) {
@@ -262,7 +266,12 @@
     holdMemory();
     if (!m_listener)
         return;
-    asio::async_write(m_socket, asio::buffer(m_output),
+    const auto untilAll = [self](asio::error_code ec, std::size_t) -> std::size_t {
+        if (self->m_listener)
+            self->m_takenAt = self->m_listener->m_clock.now();
+        return ec ? 0 : SIZE_MAX;
+    };
+    asio::async_write(m_socket, asio::buffer(m_output), untilAll,
                       [self, next](asio::error_code ec, std::size_t) {
                           self->m_writing = false;
                           releaseMemory(self->m_output);
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -64,6 +64,8 @@
     /// Start of the request that is read, or of the time without one.
     TimePoint m_since;
     TimePoint m_headAt;
+    /// When the caller last took bytes of what is sent.
+    TimePoint m_takenAt;
     /// When the request that is read must be complete.
     TimePoint m_expiresAt;
     const bool m_overLimit;
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -20,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(CallerLimitsTest);
     CPPUNIT_TEST(slowBodyIsNotHeldToTheTimeOfTheHead);
+    CPPUNIT_TEST(callerThatTakesNoByteIsClosed);
     CPPUNIT_TEST(interimResponseDoesNotStopTheLoop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -103,6 +104,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK"), firstLine(caller));
     }
 
+    // The response stays in memory, and its connection occupied, as long as the caller likes.
+    void callerThatTakesNoByteIsClosed()
+    {
+        HttpListenerLimits limits;
+        limits.idle = 200ms;
+        serve(
+                [](const IntrusivePtr<HttpExchange> &it) {
+                    it->respond({ 200, {}, std::string(20UL << 20U, 'x') });
+                },
+                limits);
+        asio::io_context context;
+        Socket caller = connect(context, 4096);
+        send(caller, "GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return m_listener->connectionCount() == 1; }));
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return m_listener->connectionCount() == 0; }));
+    }
+
     // Fills the buffer of a connection with small responses until the listener cannot send, many
     // times, so that the interim response is what finds no room now and then.
     void interimResponseDoesNotStopTheLoop()
