Read on for a moment after a refusal

Callers saw: a reset instead of 413 or 400 when they were still sending.

Cause: the listener closed the connection with unread bytes, which resets it; the reset may overtake the response, and ends the sending of a caller that reads the response only after that.

Change: after a refusal the session ends its own side and drops what still comes, up to 4 MB and 1 s.

Measured: CallerLimitsTest::refusalReachesACallerThatStillSends: sending 600 KB failed with "Broken pipe" before; now it succeeds and the caller reads 413.

--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -18,6 +18,10 @@
 // Bytes read ahead while a request runs; a caller that sends more waits.
 constexpr std::size_t kReadAheadBytes = 64UL << 10U;
 
+// Bounds for what is read of a request after it was refused.
+constexpr std::size_t kMaxDiscardedBytes = 4UL << 20U;
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// True if the peer has ended the connection and all of its bytes were read.
@@ -81,6 +85,9 @@
     if (m_writing) {
         if (now - m_takenAt > m_listener->m_limits.idle)
             close();
+    } else if (m_isDiscarding) {
+        if (now > m_expiresAt)
+            close();
     } else if (!m_parser.hasStarted()) {
         if (now - m_since > m_listener->m_limits.idle)
             close();
@@ -125,8 +132,8 @@
         callerGone();
         return;
     }
-    if (m_refused) {
-        read();
+    if (m_isDiscarding) {
+        discard(n);
         return;
     }
     m_input.append(m_buffer.data(), n);
@@ -226,13 +233,13 @@
 void HttpSession::refuse(int status, const char *reason)
 {
     const HttpRequest request = m_parser.takeRequest();
-    m_refused = true;
+    m_isDiscarding = true;
     m_parser.restart();
     releaseMemory(m_input);
     const auto &writer = m_listener->m_refusalWriter;
     const HttpResponse response =
             writer ? writer(request, status, reason) : HttpResponse{ status, {}, {} };
-    write(serializeResponse(response, request, true), AfterWrite::Close);
+    write(serializeResponse(response, request, true), AfterWrite::Discard);
 }
 
 void HttpSession::refuse(const HttpExchange &exchange, int status, const char *reason)
@@ -287,10 +294,13 @@
 void HttpSession::written(AfterWrite next)
 {
     holdMemory();
-    if (next == AfterWrite::Close) {
+    if (next == AfterWrite::Close || next == AfterWrite::Discard) {
         asio::error_code ec; // the peer may have closed first
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-        close();
+        if (next == AfterWrite::Close)
+            close();
+        else
+            m_expiresAt = m_listener->m_clock.now() + kMaxDiscardTime;
         return;
     }
     if (next == AfterWrite::NextRequest) {
@@ -304,6 +314,15 @@
     read();
 }
 
+void HttpSession::discard(std::size_t n)
+{
+    m_discardedBytes += n;
+    if (m_discardedBytes > kMaxDiscardedBytes)
+        close();
+    else
+        read();
+}
+
 void HttpSession::callerGone()
 {
     if (!m_exchange)
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -31,7 +31,7 @@
 
 private:
     /// What follows when bytes have been sent.
-    enum class AfterWrite { ReadBody, NextRequest, Close };
+    enum class AfterWrite { ReadBody, NextRequest, Close, Discard };
 
     void read();
     void onRead(asio::error_code ec, std::size_t n);
@@ -46,6 +46,7 @@
     void releaseForOthers();
     void write(std::string bytes, AfterWrite next);
     void written(AfterWrite next);
+    void discard(std::size_t n);
     void callerGone();
     /// Marks the session as the one used last.
     void moveToBack();
@@ -73,8 +74,10 @@
     bool m_reading = false;
     bool m_lastRequest = false;
     bool m_writing = false;
-    /// The response that is being sent refuses a request that was not read to its end.
-    bool m_refused = false;
+    /// The rest of a request that was refused is read and dropped: closing a connection with unread
+    /// bytes resets it, and the caller may lose the response.
+    bool m_isDiscarding = false;
+    std::size_t m_discardedBytes = 0;
 };
 
 } // namespace lycheebay
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(slowBodyIsNotHeldToTheTimeOfTheHead);
     CPPUNIT_TEST(callerThatTakesNoByteIsClosed);
     CPPUNIT_TEST(interimResponseDoesNotStopTheLoop);
+    CPPUNIT_TEST(refusalReachesACallerThatStillSends);
     CPPUNIT_TEST_SUITE_END();
 
     using Socket = asio::ip::tcp::socket;
@@ -162,6 +163,23 @@
         done.set_value();
         CPPUNIT_ASSERT(watchdog.get());
     }
+
+    // Guards against a reset that ends the caller's sending before it reads the status.
+    void refusalReachesACallerThatStillSends()
+    {
+        constexpr std::size_t kBodyBytes = 600'000;
+        HttpListenerLimits limits;
+        limits.message.bodyBytes = 1000;
+        serve(&CallerLimitsTest::respondOk, limits);
+        Socket caller = connect(m_loop.context);
+        const std::string request = post(kBodyBytes) + std::string(kBodyBytes, 'x');
+        std::optional<asio::error_code> sent;
+        asio::async_write(caller, asio::buffer(request),
+                          [&](asio::error_code ec, std::size_t) { sent = ec; });
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return sent.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(std::string("Success"), sent->message());
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413 Payload Too Large"), firstLine(caller));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
