Refuse connections over the limit without reading the body

Callers saw: a refusal only after they had sent the whole body, or none, when the body was slow.

Cause: connections over the limit of a listener were accepted and their request read to its end, although the refusal needs only the head.

Change: the request of such a connection reaches the handler with its head.

Conclusion: what cannot be served is refused at once, and holds no memory for a body.

--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -31,7 +31,7 @@
     /// When the head of the request was complete; the body may have come much later.
     TimePoint headAt() const { return m_headAt; }
     /// True if the connection was accepted over the limit of the listener. The request should be
-    /// refused without work; the connection ends after the response.
+    /// refused without work; its body may be missing, and the connection ends after the response.
     bool isOverLimit() const;
 
     /// Sends the response; \a closes ends the connection after it. Does nothing when the caller has
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -175,8 +175,11 @@
     }
     if (!m_isHeadRead && m_parser.isHeadComplete())
         headRead();
-    if (m_parser.state() == HttpMessageParser::State::Incomplete)
+    if (m_parser.state() == HttpMessageParser::State::Incomplete) {
+        if (m_isHeadRead && m_overLimit)
+            handleRequest();
         return;
+    }
     if (m_parser.state() != HttpMessageParser::State::Complete) {
         reject(m_parser.state());
         return;
@@ -188,7 +191,7 @@
 {
     m_isHeadRead = true;
     m_headAt = m_listener->m_clock.now();
-    if (m_parser.state() != HttpMessageParser::State::Incomplete)
+    if (m_parser.state() != HttpMessageParser::State::Incomplete || m_overLimit)
         return;
     const HttpRequest &head = m_parser.request();
     Duration left = m_listener->m_limits.body;
@@ -207,7 +210,8 @@
         close();
         return;
     }
-    m_lastRequest = !m_parser.isKeepAlive() || m_overLimit;
+    m_isDiscarding = m_parser.state() == HttpMessageParser::State::Incomplete;
+    m_lastRequest = m_overLimit || !m_parser.isKeepAlive();
     moveToBack();
     const auto exchange = makeRef<HttpExchange>(IntrusivePtr<HttpSession>(this),
                                                 m_parser.takeRequest(), m_headAt);
@@ -261,8 +265,10 @@
         return;
     --m_listener->m_pendingCount;
     const bool last = closes || m_lastRequest || m_listener->m_closesAfterResponses;
-    write(serializeResponse(response, exchange.request(), last),
-          last ? AfterWrite::Close : AfterWrite::NextRequest);
+    AfterWrite next = last ? AfterWrite::Close : AfterWrite::NextRequest;
+    if (m_isDiscarding)
+        next = AfterWrite::Discard;
+    write(serializeResponse(response, exchange.request(), last), next);
 }
 
 void HttpSession::write(std::string bytes, AfterWrite next)
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(callerThatTakesNoByteIsClosed);
     CPPUNIT_TEST(interimResponseDoesNotStopTheLoop);
     CPPUNIT_TEST(refusalReachesACallerThatStillSends);
+    CPPUNIT_TEST(requestOverTheLimitIsRefusedWithoutItsBody);
     CPPUNIT_TEST_SUITE_END();
 
     using Socket = asio::ip::tcp::socket;
@@ -180,6 +181,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string("Success"), sent->message());
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413 Payload Too Large"), firstLine(caller));
     }
+
+    void requestOverTheLimitIsRefusedWithoutItsBody()
+    {
+        std::vector<IntrusivePtr<HttpExchange>> held;
+        HttpListenerLimits limits;
+        limits.connections = 1;
+        limits.overLimit = 1;
+        serve(
+                [&](const IntrusivePtr<HttpExchange> &it) {
+                    if (it->isOverLimit())
+                        it->respond(jsonResponse(503, "{}"));
+                    else
+                        held.push_back(it);
+                },
+                limits);
+        asio::io_context context;
+        Socket first = connect(context);
+        send(first, post(0));
+        CPPUNIT_ASSERT(m_loop.runUntil([&] { return held.size() == 1; }));
+        Socket second = connect(context);
+        send(second, post(1000));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503 Service Unavailable"), firstLine(second));
+        held.clear();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
