Let stalled connections give way at the limit

Callers saw: 503 for every request while other callers held all connections with requests that they did not complete, or responses that they did not read.

Cause: at the limit a new connection took the place of an idle one only.

Change: without an idle connection, one whose caller has completed no request and taken no response for 500 ms gives way. Requests that run do not.

Conclusion: a crowd cannot keep the connections by doing nothing with them.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -11,11 +11,11 @@
 
 // How often idle and half-sent requests are looked for; far below the limits they are held to.
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
-// A connection that was used this recently does not count as idle: its next request may be under
-// way.
-constexpr Duration kMinIdleTime = std::chrono::milliseconds(500);
-// Sessions that are looked at for an idle one.
-constexpr int kMaxIdleCandidates = 64;
+// A connection that was used this recently does not give way to another: bytes of its caller may be
+// under way.
+constexpr Duration kMinWaitTime = std::chrono::milliseconds(500);
+// Sessions that are looked at for one that gives way.
+constexpr int kMaxCandidates = 64;
 // Pause after an accept that failed, as when no descriptor is free.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -119,7 +119,7 @@
             m_acceptRetry = m_timers.after(kAcceptRetryDelay, [this] { accept(); });
             return;
         }
-        const bool full = m_connectionCount >= m_limits.connections && !closeIdle();
+        const bool full = m_connectionCount >= m_limits.connections && !makeRoom();
         if (m_connectionCount < m_limits.connections + m_limits.overLimit) {
             auto session = makeRef<HttpSession>(*this, std::move(socket), full);
             m_sessions.pushBack(session.get());
@@ -130,17 +130,22 @@
     });
 }
 
-bool HttpListener::closeIdle()
+bool HttpListener::makeRoom()
 {
     const TimePoint now = m_clock.now();
-    int candidates = kMaxIdleCandidates;
+    HttpSession *stalled = nullptr;
+    int candidates = kMaxCandidates;
     for (HttpSession *it = m_sessions.front(); it && candidates-- > 0; it = m_sessions.next(it)) {
-        if (!it->isIdle(now, kMinIdleTime))
-            continue;
-        it->close();
-        return true;
+        if (it->isIdle(now, kMinWaitTime)) {
+            it->close();
+            return true;
+        }
+        if (!stalled && it->isStalled(now, kMinWaitTime))
+            stalled = it;
     }
-    return false;
+    if (stalled)
+        stalled->close();
+    return stalled != nullptr;
 }
 
 void HttpListener::closeExpired()
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -76,8 +76,9 @@
     /// takes no byte of a response.
     Duration idle = std::chrono::seconds(60);
     /// Connections that are served. At the limit, a new connection takes the place of one that has
-    /// been idle for long. If none is idle, the new one is accepted over the limit, so that its
-    /// request can be refused, and ends after it.
+    /// been idle, or whose caller has completed no request and taken no response, for some time. If
+    /// there is none, the new one is accepted over the limit, so that its request can be refused,
+    /// and ends after it.
     std::size_t connections = 2000;
     /// Connections over the limit; further ones are closed at once.
     std::size_t overLimit = 250;
@@ -131,9 +132,9 @@
     friend class HttpSession;
 
     void accept();
-    /// Closes a connection without a request, so that there is room for another one; returns false
-    /// if none is found.
-    bool closeIdle();
+    /// Closes a connection that waits for its caller, so that there is room for another one;
+    /// returns false if none is found.
+    bool makeRoom();
     void closeExpired();
 
     asio::io_context &m_context;
--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -105,6 +105,11 @@
            && now - m_since >= span;
 }
 
+bool HttpSession::isStalled(TimePoint now, Duration span) const
+{
+    return !m_exchange && now - (m_writing ? m_takenAt : m_since) >= span;
+}
+
 void HttpSession::moveToBack()
 {
     unlink();
--- a/src/http/internal/httpsession.h
+++ b/src/http/internal/httpsession.h
@@ -26,6 +26,9 @@
     void closeIfExpired(TimePoint now);
     /// True if the connection carries no request, nor a part of one, for at least \a span.
     bool isIdle(TimePoint now, Duration span) const;
+    /// True if the caller has not completed its request, or has taken no byte of a response, for at
+    /// least \a span.
+    bool isStalled(TimePoint now, Duration span) const;
     bool isOverLimit() const { return m_overLimit; }
     CallerMemory &memory() const { return m_callerMemory; }
 
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(interimResponseDoesNotStopTheLoop);
     CPPUNIT_TEST(refusalReachesACallerThatStillSends);
     CPPUNIT_TEST(requestOverTheLimitIsRefusedWithoutItsBody);
+    CPPUNIT_TEST(stalledRequestGivesWayAtTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
     using Socket = asio::ip::tcp::socket;
@@ -205,6 +206,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503 Service Unavailable"), firstLine(second));
         held.clear();
     }
+
+    // Guards against callers that occupy every connection with requests they never complete.
+    void stalledRequestGivesWayAtTheLimit()
+    {
+        HttpListenerLimits limits;
+        limits.connections = 1;
+        serve(
+                [](const IntrusivePtr<HttpExchange> &it) {
+                    CPPUNIT_ASSERT(!it->isOverLimit());
+                    respondOk(it);
+                },
+                limits);
+        asio::io_context context;
+        Socket stalled = connect(context);
+        send(stalled, post(2) + "a");
+        m_loop.runFor(700ms);
+        Socket caller = connect(context);
+        send(caller, post(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK"), firstLine(caller));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
