--- a/src/gateway/gatewayoptions.cpp
+++ b/src/gateway/gatewayoptions.cpp
@@ -81,18 +81,29 @@
 // much for a moment, and a single one may be as large as the configuration allows.
 constexpr std::size_t kCallerMemoryDivisor = 4;
 constexpr std::size_t kMinConnections = 64;
+// Connections for address queries, which are short, as a part of those of callers.
+constexpr std::size_t kLookupDivisor = 20;
+
+std::size_t availableDescriptors(std::size_t descriptors)
+{
+    return descriptors > kReservedDescriptors ? descriptors - kReservedDescriptors : 0;
+}
 
 } // namespace
 
 std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes)
 {
-    const std::size_t available =
-            descriptors > kReservedDescriptors ? descriptors - kReservedDescriptors : 0;
+    const std::size_t available = availableDescriptors(descriptors);
     const std::size_t byDescriptors = available - available / kRefusalDivisor;
     const std::size_t byMemory = memoryBytes / kMemoryDivisor / kBytesPerConnection;
     return std::max(kMinConnections, std::min(byDescriptors, byMemory));
 }
 
+std::size_t lookupConnectionLimit(std::size_t descriptors)
+{
+    return std::max(kMinConnections, availableDescriptors(descriptors) / kLookupDivisor);
+}
+
 std::size_t callerMemoryLimit(std::size_t memoryBytes)
 {
     return memoryBytes / kCallerMemoryDivisor;
--- a/src/gateway/gatewayoptions.h
+++ b/src/gateway/gatewayoptions.h
@@ -30,6 +30,10 @@
 /// callers that are refused. Thread-safe.
 std::size_t callerConnectionLimit(std::size_t descriptors, std::size_t memoryBytes);
 
+/// Returns how many connections for address queries an instance with that many descriptors serves.
+/// Thread-safe.
+std::size_t lookupConnectionLimit(std::size_t descriptors);
+
 /// Returns how many bytes requests, and responses that wait for their callers, may take together,
 /// on an instance with this memory. Thread-safe.
 std::size_t callerMemoryLimit(std::size_t memoryBytes);
--- a/src/gateway/tests/gatewayoptionstest.cpp
+++ b/src/gateway/tests/gatewayoptionstest.cpp
@@ -78,6 +78,8 @@
         CPPUNIT_ASSERT(callerConnectionLimit(8192, 512 * kMegabyte) > usual);
         CPPUNIT_ASSERT(callerConnectionLimit(100'000, 16 * kMegabyte) * 16 * 1024 < 8 * kMegabyte);
         CPPUNIT_ASSERT(callerConnectionLimit(300, kMegabyte) > 0);
+        const std::size_t lookups = lookupConnectionLimit(4100);
+        CPPUNIT_ASSERT(lookups >= 128 && usual + usual / 8 + lookups + lookups / 8 < 4100 - 300);
     }
 
     // Guards against a bound that leaves no room for the rest of the process, or for one response.
