Forward many header fields in less than quadratic time

Callers saw: an instance that is busy for long with a few requests of small header fields.

Cause: endToEndHeaders() looked through all fields, and through every list in Connection, for each field. A head within the limits has up to 8,000 fields. Found by reading.

Change: the names that Connection lists are collected and sorted once.

Conclusion: the time grows with the size of the head.

--- a/src/outcomes/httpmessage.cpp
+++ b/src/outcomes/httpmessage.cpp
@@ -60,20 +60,33 @@
     return decoded;
 }
 
-bool isListedInConnection(std::string_view connection, std::string_view name)
-{
-    while (!connection.empty()) {
-        const auto comma = std::min(connection.find(','), connection.size());
-        std::string_view token = connection.substr(0, comma);
-        while (!token.empty() && token.front() == ' ')
-            token.remove_prefix(1);
-        while (!token.empty() && token.back() == ' ')
-            token.remove_suffix(1);
-        if (sameHeaderName(token, name))
-            return true;
-        connection.remove_prefix(std::min(comma + 1, connection.size()));
+bool isLess(std::string_view a, std::string_view b)
+{
+    return std::lexicographical_compare(a.begin(), a.end(), b.begin(), b.end(),
+                                        [](char x, char y) { return lower(x) < lower(y); });
+}
+
+/// Returns the names that Connection lists, sorted.
+std::vector<std::string_view> connectionOptions(const HttpHeaders &headers)
+{
+    std::vector<std::string_view> options;
+    for (const HttpHeader &it : headers) {
+        if (!sameHeaderName(it.name, "connection"))
+            continue;
+        std::string_view list = it.value;
+        while (!list.empty()) {
+            const auto comma = std::min(list.find(','), list.size());
+            std::string_view option = list.substr(0, comma);
+            while (!option.empty() && option.front() == ' ')
+                option.remove_prefix(1);
+            while (!option.empty() && option.back() == ' ')
+                option.remove_suffix(1);
+            options.push_back(option);
+            list.remove_prefix(std::min(comma + 1, list.size()));
+        }
     }
-    return false;
+    std::sort(options.begin(), options.end(), isLess);
+    return options;
 }
 
 } // namespace
@@ -163,15 +176,14 @@
 
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
+    const std::vector<std::string_view> options = connectionOptions(headers);
     HttpHeaders result;
     for (const HttpHeader &header : headers) {
         const bool notForwarded =
                 std::any_of(kNotForwardedHeaders.begin(), kNotForwardedHeaders.end(),
                             [&](auto name) { return sameHeaderName(header.name, name); });
-        const bool listed = std::any_of(headers.begin(), headers.end(), [&](const HttpHeader &it) {
-            return sameHeaderName(it.name, "connection")
-                   && isListedInConnection(it.value, header.name);
-        });
+        const bool listed = std::binary_search(options.begin(), options.end(),
+                                               std::string_view(header.name), isLess);
         if (!notForwarded && !listed)
             result.push_back(header);
     }
--- a/src/outcomes/tests/outcomestest.cpp
+++ b/src/outcomes/tests/outcomestest.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(suspectsAreBounded);
     CPPUNIT_TEST(queryValuesAreEncoded);
     CPPUNIT_TEST(queryValuesAreDecoded);
+    CPPUNIT_TEST(optionsOfTheConnectionAreNotForwarded);
+    CPPUNIT_TEST(manyHeadersTakeNoQuadraticTime);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t kSelf = 7;
@@ -280,6 +282,29 @@
                                  queryValue(targetWithQuery("/", { { "a", value } }), "a").value());
         }
     }
+
+    void optionsOfTheConnectionAreNotForwarded()
+    {
+        const HttpHeaders headers{ { "A", "1" },     { "Connection", "close, x-One ,B" },
+                                   { "X-ONE", "2" }, { "Keep-Alive", "timeout=1" },
+                                   { "b", "3" },     { "connection", "X-Two" },
+                                   { "x-two", "4" }, { "X", "5" } };
+        const HttpHeaders expected{ { "A", "1" }, { "X", "5" } };
+        CPPUNIT_ASSERT(endToEndHeaders(headers) == expected);
+        CPPUNIT_ASSERT(endToEndHeaders({ { "Close", "1" } }).size() == 1);
+    }
+
+    // In quadratic time this takes longer than the test program may.
+    void manyHeadersTakeNoQuadraticTime()
+    {
+        constexpr std::size_t kHeaders = 600'000;
+        HttpHeaders headers;
+        for (std::size_t i = 0; i < kHeaders / 2; ++i) {
+            headers.push_back({ "connection", "option" + std::to_string(i) });
+            headers.push_back({ "name", "" });
+        }
+        CPPUNIT_ASSERT_EQUAL(kHeaders / 2, endToEndHeaders(headers).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OutcomesTest);
