Keep no long host names in the cache of address queries

Callers saw: nothing yet; a caller could make the directory hold 1,000 names of 16 KB, and before the bound of its heads of 64 KB.

Cause: the cache was bounded by its entries, whose keys the callers choose.

Change: queries longer than 512 bytes are answered without the cache.

Measured: ForwardingTest::longNamesOfHostsAreNotKept (2,000 names of 16 KB): more than 2 MB of heap stay before; it passes now. gateway_tests (97) pass.

Conclusion: the cache takes at most 1,000 short keys and their addresses.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,8 @@
 // nothing to cold targets, since the actual owner's requests would come on top.
 constexpr Duration kColdTargetHoldOff = std::chrono::seconds(4);
 constexpr std::size_t kMaxCachedAddressQueries = 1000;
+// Longest query that is cached: a host name (RFC 1035, 2.3.4), a failure domain and a region.
+constexpr std::size_t kMaxCachedQueryBytes = 512;
 // Connections over the limit, as a fraction of it. They last for one refusal.
 constexpr std::size_t kOverLimitDivisor = 8;
 constexpr Duration kOverflowReportPeriod = std::chrono::milliseconds(250);
@@ -216,19 +218,24 @@
     placed.staysInRegion = staysInRegion(*configuration, query);
     const std::string key = query.host + '/' + query.failureDomain + '/' + query.region
                             + (placed.staysInRegion ? "/local" : "");
-    auto known = m_addressCache.find(key);
+    const auto known = m_addressCache.find(key);
+    std::vector<AddressCandidate> computed;
     if (known == m_addressCache.end()) {
-        // Callers choose the host, so the cache is bounded against arbitrary host names.
-        if (m_addressCache.size() >= kMaxCachedAddressQueries)
-            m_addressCache.clear();
         const TargetList noTargets;
         const DrainedDomains noDomains;
         const DispatchInputs inputs{ *configuration, m_targets ? *m_targets : noTargets,
                                      drained ? *drained : noDomains, *instances,
                                      m_settings.regions };
-        known = m_addressCache.emplace(key, addressCandidates(inputs, placed)).first;
+        computed = addressCandidates(inputs, placed);
+    }
+    std::vector<Address> addresses = sampleAddresses(
+            known == m_addressCache.end() ? computed : known->second, m_context.random);
+    // Callers choose the host, so the cache is bounded against arbitrary host names.
+    if (known == m_addressCache.end() && key.size() <= kMaxCachedQueryBytes) {
+        if (m_addressCache.size() >= kMaxCachedAddressQueries)
+            m_addressCache.clear();
+        m_addressCache.emplace(key, std::move(computed));
     }
-    std::vector<Address> addresses = sampleAddresses(known->second, m_context.random);
     m_metrics.countAddressAnswer(addresses.empty());
     return addresses;
 }
--- a/src/gateway/tests/forwardingtest.cpp
+++ b/src/gateway/tests/forwardingtest.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/crashmonitor.h"
 #include "gateway/lycheebayprotocol.h"
 #include "http/httpserialization.h"
+#include "http/tests/heapbytes.h"
 #include "http/tests/loopfixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(unreachableDispatcherIsBypassed);
     CPPUNIT_TEST(leavingCallerCancelsAForwardedLookup);
     CPPUNIT_TEST(callersStayInTheirRegionByTheShare);
+    CPPUNIT_TEST(longNamesOfHostsAreNotKept);
     CPPUNIT_TEST_SUITE_END();
 
     struct Target
@@ -506,6 +508,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, atHome.size());
         CPPUNIT_ASSERT_EQUAL(m_b->port(), atHome.front().port);
     }
+
+    // Callers choose the names. The bound is that of the cache: 1,000 queries of half a kilobyte,
+    // and their addresses.
+    void longNamesOfHostsAreNotKept()
+    {
+        addTarget("a1");
+        publishTargets();
+        publishInstances();
+        publishConfiguration();
+        const std::size_t heapAtStart = heapBytes();
+        for (int i = 0; i < 2000; ++i) {
+            const std::string name = std::to_string(i) + std::string(16'000, 'h');
+            CPPUNIT_ASSERT(!m_a->addressesFor({ name, "a1", "a" }).empty());
+        }
+        CPPUNIT_ASSERT(heapBytes() < heapAtStart + (2UL << 20U));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardingTest);
