Ask once more only while no ordinary request was answered

Cause: LoopFixture::runUntil() evaluates its condition once more at the end. The crowd tests sent their ordinary request in the condition, so that a refusal of the second one failed a test whose first one was answered. Found by a trace of statuses: moreConnectionsThanTheLimit failed after 0, 200, 200, 503, 200, 503.

Change: the answer is remembered. The crowds, the bounds and the question are the same: is an ordinary request answered while the crowd stays, for a caller that repeats it when it is refused.

--- a/src/daemon/tests/daemoncrowdtest.cpp
+++ b/src/daemon/tests/daemoncrowdtest.cpp
@@ -104,7 +104,9 @@
     /// True if an ordinary request is answered, by a caller that repeats it when it is refused.
     bool isAnswered()
     {
-        return m_loop.runUntil([&] { return statusOfOrdinaryRequest() == 200; });
+        bool answered = false;
+        m_loop.runUntil([&] { return answered = answered || statusOfOrdinaryRequest() == 200; });
+        return answered;
     }
 
     /// Waits until the process has read what the clients have sent: until its largest memory stays
