Bound the memory that the callers of lycheebayd hold

Callers saw: an instance that takes several times its memory while clients send bodies and stay.

Cause: each body was bounded, all together were not, and a body was held twice while it was taken out of the stream; the allocator kept large blocks.

A body is moved out of the stream. Large blocks are returned when they are freed.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -62,6 +62,7 @@
     server.maxConnections = static_cast<std::size_t>(settings.maxConnections);
     server.idleTimeout = settings.idleTimeout;
     server.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    server.maxMessageBytes = static_cast<std::size_t>(settings.maxMessageBytes);
     return server;
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "base/heap.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "daemon/daemon.h"
@@ -53,6 +54,7 @@
 
 int main(int argc, char **argv)
 {
+    returnLargeBlocksWhenFreed();
     const SettingsRequest request =
             readSettings({ argv, argv + argc }, [](const char *name) { return std::getenv(name); });
     if (!request.information.empty()) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -26,6 +26,7 @@
     int maxConnections = 0;
     int maxConnectionsPerTarget = 0;
     int maxBodyBytes = 0;
+    int maxMessageBytes = 0;
     int maxOutcomes = 0;
     int maxOutcomeBytes = 0;
     int spillBytesPerSecond = 0;
--- a/src/http/internal/deadlinestream.cpp
+++ b/src/http/internal/deadlinestream.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace lycheebay {
 
@@ -92,6 +93,15 @@
     }
 }
 
+std::string DeadlineStream::take(std::size_t bytes)
+{
+    if (m_inputPosition == 0 && bytes == m_input.size())
+        return std::exchange(m_input, {});
+    std::string text(buffered().substr(0, bytes));
+    consume(bytes);
+    return text;
+}
+
 void DeadlineStream::consume(std::size_t bytes)
 {
     m_inputPosition += bytes;
--- a/src/http/internal/deadlinestream.h
+++ b/src/http/internal/deadlinestream.h
@@ -35,6 +35,9 @@
     /// Receives at least one more byte into the buffer. Returns false if state() is no longer Open.
     bool fill();
     std::string_view buffered() const { return std::string_view(m_input).substr(m_inputPosition); }
+    /// Removes \a bytes from the front of buffered() and returns them; a message that is all of it
+    /// is not copied.
+    std::string take(std::size_t bytes);
     /// Removes bytes from the front of buffered().
     void consume(std::size_t bytes);
     /// Keeps \a bytes until flush(), so that head and body are sent together.
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "transport/internal/callerconnection.h"
+#include "transport/internal/callerregistry.h"
 #include "transport/internal/connectionthreadpool.h"
 
 #include <fmt/format.h>
@@ -50,6 +51,7 @@
     Private(const HttpServerSettings &settings, HttpHandler handler)
         : m_settings(settings)
         , m_handler(std::move(handler))
+        , m_registry(settings.maxMessageBytes)
     {
         set_socket_options(setListenOptions);
         new_task_queue = [this] {
@@ -117,7 +119,8 @@
         if (!withinLimit)
             --m_counters.openConnections;
         try {
-            CallerConnection connection(socket, m_settings, m_handler, m_stopping, m_counters);
+            CallerConnection connection(socket, m_settings, m_handler, m_stopping, m_counters,
+                                        m_registry);
             if (withinLimit) {
                 connection.serve();
             } else {
@@ -137,6 +140,7 @@
     const HttpHandler m_handler;
     Cancellation m_stopping;
     HttpServerCounters m_counters;
+    CallerRegistry m_registry;
     std::thread m_acceptThread;
     std::atomic<bool> m_acceptLoopEnded{ false };
     std::atomic<std::uint16_t> m_port{ 0 };
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -30,6 +30,9 @@
     std::size_t maxHeadBytes = 16u << 10;
     std::size_t maxHeaders = 100;
     std::size_t maxBodyBytes = 1u << 20;
+    /// Limits what the requests and responses of all connections hold together. Above it the
+    /// largest ones end; one alone may be larger.
+    std::size_t maxMessageBytes = 16u << 20;
 };
 
 /// The caller of the request that is being handled.
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -25,6 +25,13 @@
 /// Limit for reading the head of a request on a refused connection.
 constexpr std::chrono::milliseconds kRefusedHeadTimeout{ 100 };
 
+/// A body is counted when it has grown by this much.
+constexpr std::size_t kHoldStep = 64u << 10;
+/// Copies of a body in the request, in the bytes to send and in the stream to the target.
+constexpr std::size_t kCopiesInWork = 3;
+/// Copies of a response's body: in the response and in the stream to the caller.
+constexpr std::size_t kCopiesInSending = 2;
+
 TimePoint deadlineAfter(Duration duration)
 {
     return std::chrono::steady_clock::now() + duration;
@@ -63,13 +70,14 @@
 
 CallerConnection::CallerConnection(int socket, const HttpServerSettings &settings,
                                    const HttpHandler &handler, const Cancellation &stopping,
-                                   HttpServerCounters &counters)
+                                   HttpServerCounters &counters, CallerRegistry &registry)
     : m_socket(socket)
     , m_settings(settings)
     , m_handler(handler)
     , m_stopping(stopping)
     , m_counters(counters)
     , m_stream(socket)
+    , m_registration(registry, socket)
 {}
 
 void CallerConnection::serve()
@@ -79,6 +87,7 @@
 
 void CallerConnection::refuse()
 {
+    m_registration.work(); // it occupies no slot that it could give way
     m_stream.setDeadline(deadlineAfter(kRefusedHeadTimeout));
     m_stream.setReadLimit(m_settings.maxHeadBytes);
     while (m_stream.buffered().find(kHeadEnd) == std::string_view::npos && m_stream.fill()) {}
@@ -124,9 +133,17 @@
     RequestHead head = std::get<RequestHead>(parsed);
     if (!readBody(head, head.request.body))
         return false;
+    m_registration.work();
+    m_registration.hold(kCopiesInWork * head.request.body.size());
     const HttpResponse response = handle(head.request);
     const bool keepAlive = head.keepAlive && !m_stopping.isCancelled();
-    return respond(m_stream, response, head.request.method, keepAlive) && keepAlive;
+    const std::string method = head.request.method;
+    head = {}; // its body is not needed any more
+    m_registration.hold(kCopiesInSending * response.body.size());
+    const bool isSent = respond(m_stream, response, method, keepAlive);
+    m_registration.hold(0);
+    m_registration.wait();
+    return isSent && keepAlive;
 }
 
 bool CallerConnection::readHead(std::size_t &headBytes)
@@ -162,17 +179,23 @@
         if (!m_stream.flush())
             return false;
     }
+    std::size_t held = 0;
     while (m_stream.buffered().size() < head.bodyBytes) {
+        const std::size_t size = m_stream.buffered().size();
+        if (size >= held + kHoldStep)
+            m_registration.hold(held = size);
         if (m_stream.fill())
             continue;
-        if (m_stream.state() == StreamState::TimedOut) {
+        m_stream.take(m_stream.buffered().size()); // not needed any more
+        if (m_registration.isEnded())
+            reject(503, "the memory of this instance is needed for others");
+        else if (m_stream.state() == StreamState::TimedOut) {
             const bool hasKey = findHeader(head.request.headers, kIdempotencyKeyHeader);
             reject(408, "the request's body took too long", hasKey ? "unknown" : "not-run");
         }
         return false;
     }
-    body = m_stream.buffered().substr(0, head.bodyBytes);
-    m_stream.consume(head.bodyBytes);
+    body = m_stream.take(head.bodyBytes);
     return true;
 }
 
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "http/internal/deadlinestream.h"
 #include "transport/httpserver.h"
+#include "transport/internal/callerregistry.h"
 #include "transport/internal/requesthead.h"
 
 namespace lycheebay {
@@ -12,7 +13,8 @@
 {
 public:
     CallerConnection(int socket, const HttpServerSettings &settings, const HttpHandler &handler,
-                     const Cancellation &stopping, HttpServerCounters &counters);
+                     const Cancellation &stopping, HttpServerCounters &counters,
+                     CallerRegistry &registry);
 
     /// Serves requests until the connection ends or the server stops.
     void serve();
@@ -38,6 +40,7 @@
     const Cancellation &m_stopping;
     HttpServerCounters &m_counters;
     DeadlineStream m_stream;
+    CallerRegistry::Connection m_registration;
 };
 
 } // namespace lycheebay
--- a/src/transport/tests/httpservertest.cpp
+++ b/src/transport/tests/httpservertest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(slowSendersTimeOut);
     CPPUNIT_TEST(handlerExceptionGets500);
     CPPUNIT_TEST(handlerSeesThatTheCallerIsGone);
+    CPPUNIT_TEST(bodiesAreBoundedTogether);
+    CPPUNIT_TEST(singleLargeBodyIsServed);
     CPPUNIT_TEST_SUITE_END();
 
     void start(HttpServerSettings settings = {})
@@ -181,6 +183,31 @@
         m_server->stop();
         CPPUNIT_ASSERT(seen);
     }
+
+    void bodiesAreBoundedTogether()
+    {
+        constexpr std::size_t kMega = 1u << 20;
+        start({ .maxBodyBytes = 4 * kMega, .maxMessageBytes = 2 * kMega });
+        const std::string head = "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+        const RawClient small(m_server->port());
+        small.send(head + "500000\r\n\r\n" + std::string(499'999, 'a'));
+        const RawClient large(m_server->port());
+        large.send(head + "3000000\r\n\r\n" + std::string(2'000'000, 'b'));
+        CPPUNIT_ASSERT(large.readAll().starts_with("HTTP/1.1 503"));
+        small.send("a");
+        CPPUNIT_ASSERT(!small.readUntil("aaa").empty());
+    }
+
+    // Guards against a body within the limit that is refused although there is no other.
+    void singleLargeBodyIsServed()
+    {
+        constexpr std::size_t kMega = 1u << 20;
+        start({ .maxBodyBytes = 4 * kMega, .maxMessageBytes = kMega });
+        const RawClient caller(m_server->port());
+        caller.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n"
+                    + std::string(3'000'000, 'a'));
+        CPPUNIT_ASSERT(caller.readUntil("/|aaa").starts_with("HTTP/1.1 200"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
