Let connections that wait for their callers give way in lycheebayd

Callers saw: 503 for each request, or no answer, while others held all connections, idle or with requests that they did not complete.

Cause: each connection has a thread, idle ones too; at the limit every new one was refused. Accepted connections queued without a bound, each with a descriptor, behind eight threads that refuse.

Change: at the limit, the connection that has waited for its caller the longest, 100 ms at least, ends for the new one. At most 32 accepted connections wait for a thread; further ones stay in the backlog of the listener, which is now as long as the system allows.

Conclusion: a crowd that does nothing cannot keep the threads.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <condition_variable>
+#include <mutex>
 #include <thread>
 
 namespace lycheebay {
@@ -20,9 +22,13 @@
 
 /// Additional threads that answer connections over maxConnections with an error.
 constexpr std::size_t kRefusalThreads = 8;
+/// Accepted connections that wait for a thread.
+constexpr std::size_t kMaxQueuedConnections = 32;
+/// Limit for the time until a connection that gives way has ended.
+constexpr std::chrono::seconds kMaxRoomWait{ 1 };
 /// httplib listens with a backlog of 5. A burst of connections overflows it, and each dropped
 /// connection attempt is repeated by the caller's TCP stack only after a second.
-constexpr int kListenBacklog = 512;
+constexpr int kListenBacklog = SOMAXCONN;
 /// Limits how often the listener is restarted after an error of accept().
 constexpr int kMaxRebinds = 100;
 
@@ -55,7 +61,8 @@
     {
         set_socket_options(setListenOptions);
         new_task_queue = [this] {
-            return new ConnectionThreadPool(m_settings.maxConnections + kRefusalThreads);
+            return new ConnectionThreadPool(m_settings.maxConnections + kRefusalThreads,
+                                            kMaxQueuedConnections);
         };
     }
 
@@ -113,11 +120,9 @@
 
     bool process_and_close_socket(socket_t socket) override
     {
-        setNoDelay(socket);
         ++m_counters.connections;
-        const bool withinLimit = ++m_counters.openConnections <= m_settings.maxConnections;
-        if (!withinLimit)
-            --m_counters.openConnections;
+        setNoDelay(socket);
+        const bool withinLimit = takeSlot();
         try {
             CallerConnection connection(socket, m_settings, m_handler, m_stopping, m_counters,
                                         m_registry);
@@ -131,16 +136,49 @@
             LOG4CPLUS_ERROR(componentLogger("http"), "serving a connection failed: " << e.what());
         }
         if (withinLimit)
-            --m_counters.openConnections;
+            freeSlot();
         close(socket);
         return true;
     }
 
+    /// Counts a connection as open. At the limit, another one that waits for its caller makes room;
+    /// returns false if there is none.
+    bool takeSlot()
+    {
+        std::unique_lock lock(m_slotMutex);
+        const auto isFree = [this](std::size_t reserved) {
+            return m_counters.openConnections + reserved < m_settings.maxConnections;
+        };
+        if (!isFree(m_reservedSlots)) {
+            if (!m_registry.endLongestWait(m_settings.minWaitTime))
+                return false;
+            ++m_reservedSlots;
+            const bool hasRoom =
+                    m_slotFreed.wait_for(lock, kMaxRoomWait, [&] { return isFree(0); });
+            --m_reservedSlots;
+            if (!hasRoom)
+                return false;
+        }
+        ++m_counters.openConnections;
+        return true;
+    }
+
+    void freeSlot()
+    {
+        const std::lock_guard lock(m_slotMutex);
+        --m_counters.openConnections;
+        m_slotFreed.notify_one();
+    }
+
     const HttpServerSettings m_settings;
     const HttpHandler m_handler;
     Cancellation m_stopping;
     HttpServerCounters m_counters;
     CallerRegistry m_registry;
+    std::mutex m_slotMutex;
+    std::condition_variable m_slotFreed;
+    /// Slots that connections wait for which have made another one end.
+    std::size_t m_reservedSlots = 0;
     std::thread m_acceptThread;
     std::atomic<bool> m_acceptLoopEnded{ false };
     std::atomic<std::uint16_t> m_port{ 0 };
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -17,8 +17,12 @@
 {
     /// Port 0 selects any free port.
     Address listen = {};
-    /// Each open connection occupies one thread, also while it is idle.
+    /// Each open connection occupies one thread, also while it is idle. At the limit, a new one
+    /// takes the place of the one that has waited for its caller the longest, if for minWaitTime at
+    /// least.
     std::size_t maxConnections = 512;
+    /// Bytes of a caller that began to wait more recently may be under way.
+    Duration minWaitTime = std::chrono::milliseconds(100);
     Duration idleTimeout = std::chrono::seconds(30);
     /// Limits for receiving the whole head and the whole body, not for each read, so that a slow
     /// sender cannot keep a connection occupied.
--- a/src/transport/internal/connectionthreadpool.cpp
+++ b/src/transport/internal/connectionthreadpool.cpp
@@ -6,7 +6,8 @@
 
 void ConnectionThreadPool::enqueue(std::function<void()> task)
 {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
+    m_hasRoom.wait(lock, [this] { return m_tasks.size() < m_maxQueued; });
     m_tasks.push_back(std::move(task));
     if (m_idleThreads < m_tasks.size() && m_threads.size() < m_maxThreads) {
         try {
@@ -40,6 +41,7 @@
             return;
         const std::function<void()> task = std::move(m_tasks.front());
         m_tasks.pop_front();
+        m_hasRoom.notify_one();
         lock.unlock();
         task();
         lock.lock();
--- a/src/transport/internal/connectionthreadpool.h
+++ b/src/transport/internal/connectionthreadpool.h
@@ -16,10 +16,14 @@
 class ConnectionThreadPool final : public httplib::TaskQueue
 {
 public:
-    explicit ConnectionThreadPool(std::size_t maxThreads)
+    /// \a maxQueued bounds the tasks that wait for a thread. Further connections wait in the
+    /// listener's backlog, where they take no descriptor.
+    ConnectionThreadPool(std::size_t maxThreads, std::size_t maxQueued)
         : m_maxThreads(maxThreads)
+        , m_maxQueued(maxQueued)
     {}
 
+    /// Waits while too many tasks are queued.
     void enqueue(std::function<void()> task) override;
     /// Runs the queued tasks and joins all threads.
     void shutdown() override;
@@ -28,9 +32,12 @@
     void runTasks();
 
     const std::size_t m_maxThreads;
+    const std::size_t m_maxQueued;
     std::mutex m_mutex;
     /// Notified when a task is queued and on shutdown.
     std::condition_variable m_wakeUp;
+    /// Notified when a queued task starts.
+    std::condition_variable m_hasRoom;
     std::deque<std::function<void()>> m_tasks;
     std::vector<std::thread> m_threads;
     std::size_t m_idleThreads = 0;
