--- a/standins/process/childprocess.cpp
+++ b/standins/process/childprocess.cpp
@@ -22,6 +22,7 @@
 std::vector<char *> pointersTo(const std::vector<std::string> &texts)
 {
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (const std::string &it : texts)
         pointers.push_back(const_cast<char *>(it.c_str()));
     pointers.push_back(nullptr);
