Check that a session is open before it goes on after a write

Cause: found by reading the change. written() counts the memory of the session, which may end it, and used its listener after that.

Change: it returns if the session was ended.

--- a/src/http/internal/httpsession.cpp
+++ b/src/http/internal/httpsession.cpp
@@ -305,6 +305,8 @@
 void HttpSession::written(AfterWrite next)
 {
     holdMemory();
+    if (!m_listener)
+        return;
     if (next == AfterWrite::Close || next == AfterWrite::Discard) {
         asio::error_code ec; // the peer may have closed first
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
