Count a slot and its connection under one lock

Callers saw: 503 for a moment although another connection could have given way.

Change: a connection is registered first and begins to wait for its caller with its slot, under the same lock. One that is refused never counts as waiting.

Conclusion: whoever finds no slot finds the connections that hold them.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -122,10 +122,11 @@
     {
         ++m_counters.connections;
         setNoDelay(socket);
-        const bool withinLimit = takeSlot();
+        bool withinLimit = false;
         try {
             CallerConnection connection(socket, m_settings, m_handler, m_stopping, m_counters,
                                         m_registry);
+            withinLimit = takeSlot(connection);
             if (withinLimit) {
                 connection.serve();
             } else {
@@ -143,7 +144,7 @@
 
     /// Counts a connection as open. At the limit, another one that waits for its caller makes room;
     /// returns false if there is none.
-    bool takeSlot()
+    bool takeSlot(CallerConnection &connection)
     {
         std::unique_lock lock(m_slotMutex);
         const auto isFree = [this](std::size_t reserved) {
@@ -160,6 +161,7 @@
                 return false;
         }
         ++m_counters.openConnections;
+        connection.waitForCaller(); // under the lock: whoever finds no slot finds this connection
         return true;
     }
 
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -87,7 +87,6 @@
 
 void CallerConnection::refuse()
 {
-    m_registration.work(); // it occupies no slot that it could give way
     m_stream.setDeadline(deadlineAfter(kRefusedHeadTimeout));
     m_stream.setReadLimit(m_settings.maxHeadBytes);
     while (m_stream.buffered().find(kHeadEnd) == std::string_view::npos && m_stream.fill()) {}
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -16,6 +16,9 @@
                      const Cancellation &stopping, HttpServerCounters &counters,
                      CallerRegistry &registry);
 
+    /// Tells that the connection has a slot, which it may have to give way while it waits for its
+    /// caller.
+    void waitForCaller() { m_registration.wait(); }
     /// Serves requests until the connection ends or the server stops.
     void serve();
     /// Responds that there are too many connections, without handling the request.
--- a/src/transport/internal/callerregistry.h
+++ b/src/transport/internal/callerregistry.h
@@ -13,7 +13,7 @@
 class CallerRegistry final
 {
 public:
-    /// One connection, used by its own thread.
+    /// One connection, used by its own thread. It gives way to no other until wait() is called.
     class Connection final : public ListNode<CallerRegistry>
     {
     public:
@@ -43,7 +43,7 @@
         const int m_socket;
         MessageMemory::Share m_memory;
         TimePoint m_waitsSince;
-        bool m_isWaiting = true;
+        bool m_isWaiting = false;
         bool m_isEnded = false;
     };
 
