Log and count the returns of the store, and records that are ignored

The logs could not tell whether the store had returned from an older copy, nor whether an instance had ignored a record that its reader passed on.

The store's era is read from its answers: a later one is logged and counted, and an answer that names none, a lower one or no number is logged once. A record of the operator that differs from the known one and is not newer is logged with both offsets. No decision uses them yet.

--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -58,6 +58,9 @@
                                      "Address answers to callers."))
     , m_storeCalls(counterFamily(m_registry, "lycheebay_gateway_store_calls_total",
                                  "Calls to the platform's store by call and result."))
+    , m_storeReturns(counterFamily(m_registry, "lycheebay_gateway_store_returns_total",
+                                   "Returns of the platform's store from an older copy.")
+                             .Add({}))
     , m_configurationVersion(gauge(m_registry, "lycheebay_gateway_configuration_version",
                                    "Version of the configuration in force."))
     , m_instances(gauge(m_registry, "lycheebay_gateway_instances", "Live gateway instances known."))
@@ -121,6 +124,11 @@
     m_storeCalls.Add({ { "call", call }, { "result", result } }).Increment();
 }
 
+void GatewayMetrics::countStoreReturn()
+{
+    m_storeReturns.Increment();
+}
+
 void GatewayMetrics::setConfigurationVersion(std::uint64_t version)
 {
     m_configurationVersion.Set(static_cast<double>(version));
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -32,6 +32,8 @@
     void countCrashCheck(const std::string &verdict);
     void countAddressAnswer(bool empty);
     void countStoreCall(const std::string &call, const std::string &result);
+    /// Counts a return of the platform's store from an older copy.
+    void countStoreReturn();
     void setConfigurationVersion(std::uint64_t version);
     void setInstances(std::size_t n);
     void setTargets(std::size_t n);
@@ -53,6 +55,7 @@
     prometheus::Family<prometheus::Counter> &m_crashChecks;
     prometheus::Family<prometheus::Counter> &m_addressAnswers;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Counter &m_storeReturns;
     prometheus::Gauge &m_configurationVersion;
     prometheus::Gauge &m_instances;
     prometheus::Gauge &m_targets;
--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -39,6 +39,12 @@
     return true;
 }
 
+const KeyedRecord *OperatorRecordTable::find(const std::string &key) const
+{
+    const auto it = m_records.find(key);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
 OperatorRecords OperatorRecordTable::recordsSince(std::uint64_t since) const
 {
     OperatorRecords result{ m_position, since == 0, {} };
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -29,6 +29,8 @@
 public:
     /// Applies records and returns those that changed the table, including deletions of keys.
     std::vector<KeyedRecord> apply(const OperatorRecords &update);
+    /// Returns the newest known record of a key, also a deletion; null if there is none.
+    const KeyedRecord *find(const std::string &key) const;
     /// Returns the records with an offset of at least \a since. The result is complete if \a since
     /// is 0.
     OperatorRecords recordsSince(std::uint64_t since) const;
