Order positions in the store's log by era

Cause: offsets were compared although the store had given them out again. The reader of a topic went on from the larger of the listing's offset and the one known before, so the store answered 410 each time and the topic was listed again, about 25 times a second by each instance. The listings brought the new version, but the table ignored records whose offsets were not above the known ones, and updates between instances carried the same offsets.

A position is now an era and an offset, ordered by the era first, in the reader, the tables, the updates between instances and the compressor's cache. Positions without an era, as those of an earlier version of an instance, belong to the era that the receiver knows.

--- a/src/gateway/relay/estatecoordinator.cpp
+++ b/src/gateway/relay/estatecoordinator.cpp
@@ -284,7 +284,7 @@
     m_operatorPollTimer = m_timers.after(updateDeadline() - m_clock.now(),
                                          [this] { updateOperatorPollTimeout(); });
     const bool coveredByReader =
-            m_settings.wholeSystemStarts || m_source.operatorRecordsPosition() > 0;
+            m_settings.wholeSystemStarts || m_source.operatorRecordsPosition() > LogPosition();
     m_source.setOperatorPollTimeout(coveredByReader ? std::nullopt
                                                     : std::optional(kInitialPollTimeout));
 }
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -230,9 +230,10 @@
     const bool isExchange = m_exchangeLinks.contains(link);
     if (!isExchange && m_readerLink != link)
         return absl::InvalidArgumentError("update from an instance that is not the reader");
-    const auto update = decodeUpdate(frame, m_clock.now());
+    auto update = decodeUpdate(frame, m_clock.now());
     if (!update.ok())
         return update.status();
+    assumeEras(*update, m_source.operatorRecordsPosition(), m_source.targetsPosition());
     if (isExchange) {
         exchangeFrameReceived(link, *update);
         return absl::OkStatus();
--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -66,6 +66,16 @@
     return static_cast<std::uint32_t>(std::min<std::int64_t>(ms, UINT32_MAX));
 }
 
+std::optional<std::uint64_t> toStdOptional(const flatbuffers::Optional<std::uint64_t> &value)
+{
+    return value.has_value() ? std::optional(value.value()) : std::nullopt;
+}
+
+flatbuffers::Optional<std::uint64_t> toFlatOptional(const std::optional<std::uint64_t> &value)
+{
+    return value ? flatbuffers::Optional<std::uint64_t>(*value) : flatbuffers::nullopt;
+}
+
 bool isValidName(const flatbuffers::String *text)
 {
     return text->size() > 0 && text->size() <= kMaxNameBytes;
@@ -200,7 +210,9 @@
 {
     if (!isValidName(record.key()))
         return absl::InvalidArgumentError("operator record with an empty or too long key");
-    KeyedRecord decoded{ record.key()->str(), std::nullopt, record.offset() };
+    KeyedRecord decoded{ record.key()->str(),
+                         std::nullopt,
+                         { toStdOptional(record.era()), record.offset() } };
     if (const auto *bytes = record.value()) {
         auto value =
                 decompressValue({ reinterpret_cast<const char *>(bytes->data()), bytes->size() },
@@ -215,7 +227,7 @@
 
 absl::Status decodeRecords(const relaywire::EstateUpdate &message, OperatorRecords &records)
 {
-    records.position = message.operator_position();
+    records.position = { toStdOptional(message.operator_era()), message.operator_position() };
     records.complete = message.operator_complete();
     if (!message.operator_records())
         return absl::OkStatus();
@@ -232,7 +244,8 @@
 {
     auto encoded = std::make_unique<relaywire::OperatorRecordT>();
     encoded->key = record.key;
-    encoded->offset = record.offset;
+    encoded->offset = record.position.offset;
+    encoded->era = toFlatOptional(record.position.era);
     if (record.value) {
         const CompressedValue &compressed = compressor.compress(record);
         encoded->value.assign(compressed.bytes.begin(), compressed.bytes.end());
@@ -307,15 +320,30 @@
     applyListDiff(list, diff);
 }
 
+void assumeEras(EstateUpdate &update, const LogPosition &operatorPosition,
+                const LogPosition &targetsPosition)
+{
+    const auto assume = [](LogPosition &position, const LogPosition &own) {
+        if (!position.era)
+            position.era = own.era;
+    };
+    assume(update.operatorRecords.position, operatorPosition);
+    for (KeyedRecord &it : update.operatorRecords.records)
+        assume(it.position, operatorPosition);
+    assume(update.targetsPosition, targetsPosition);
+}
+
 std::string encodeUpdate(const EstateUpdate &update, TimePoint now, RecordCompressor &compressor)
 {
     relaywire::EstateUpdateT message;
     message.age_ms = toMsRoundedUp(now - update.asOf);
-    message.operator_position = update.operatorRecords.position;
+    message.operator_position = update.operatorRecords.position.offset;
+    message.operator_era = toFlatOptional(update.operatorRecords.position.era);
     message.operator_complete = update.operatorRecords.complete;
     for (const KeyedRecord &it : update.operatorRecords.records)
         message.operator_records.push_back(encodeRecord(it, compressor));
-    message.targets_position = update.targetsPosition;
+    message.targets_position = update.targetsPosition.offset;
+    message.targets_era = toFlatOptional(update.targetsPosition.era);
     encodeLists(update, now, message);
     for (const LocalShare &it : update.localShares) {
         auto share = std::make_unique<relaywire::LocalShareT>();
@@ -355,7 +383,7 @@
     const relaywire::EstateUpdate *message = relaywire::GetEstateUpdate(bytes);
     EstateUpdate update;
     update.asOf = now - milliseconds(message->age_ms());
-    update.targetsPosition = message->targets_position();
+    update.targetsPosition = { toStdOptional(message->targets_era()), message->targets_position() };
     absl::Status status = decodeRecords(*message, update.operatorRecords);
     if (status.ok())
         status = decodeLists(*message, now, update);
--- a/src/gateway/relay/estateupdate.h
+++ b/src/gateway/relay/estateupdate.h
@@ -51,7 +51,7 @@
     TimePoint asOf;
     OperatorRecords operatorRecords;
     /// Position up to which the platform's list of targets was read.
-    std::uint64_t targetsPosition = 0;
+    LogPosition targetsPosition;
     /// Null if the sender does not know the list yet.
     std::optional<TargetListDiff> targets;
     std::optional<InstanceListDiff> instances;
@@ -71,6 +71,12 @@
     auto operator<=>(const EstateUpdate &) const = default;
 };
 
+/// Completes the positions of an update that name no era, as those of an instance of an earlier
+/// version: they are taken for positions of the eras of \a operatorPosition and
+/// \a targetsPosition, which the receiver knows. Thread-safe for different updates.
+void assumeEras(EstateUpdate &update, const LogPosition &operatorPosition,
+                const LogPosition &targetsPosition);
+
 /// Encodes an update as a frame. Durations are rounded up to milliseconds. Thread-safe for
 /// different compressors.
 std::string encodeUpdate(const EstateUpdate &update, TimePoint now, RecordCompressor &compressor);
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -40,10 +40,10 @@
     /// Reads the targets once; does nothing if a read is already running.
     virtual void readTargets() = 0;
     /// Position up to which the targets were read.
-    virtual std::uint64_t targetsPosition() const = 0;
+    virtual LogPosition targetsPosition() const = 0;
     /// Takes over a list that another instance read up to \a position, in a read that started at
     /// \a asOf; the next read continues there.
-    virtual void adoptTargets(const TargetList &targets, std::uint64_t position,
+    virtual void adoptTargets(const TargetList &targets, const LogPosition &position,
                               TimePoint asOf) = 0;
     /// Reads the instances once.
     virtual void readInstances() = 0;
@@ -53,10 +53,10 @@
     virtual void setOperatorPollTimeout(std::optional<Duration> timeout) = 0;
     /// Time of the last successful read of the operator's records; null before the first one.
     virtual std::optional<TimePoint> operatorRecordsReadAt() const = 0;
-    /// Offset after the last known record of the operator; 0 before the first read.
-    virtual std::uint64_t operatorRecordsPosition() const = 0;
-    /// Returns the operator's records with an offset of at least \a since.
-    virtual OperatorRecords operatorRecordsSince(std::uint64_t since) const = 0;
+    /// Position after the last known record of the operator; the lowest one before the first read.
+    virtual LogPosition operatorRecordsPosition() const = 0;
+    /// Returns the operator's records from position \a since on.
+    virtual OperatorRecords operatorRecordsSince(const LogPosition &since) const = 0;
     /// Applies records that another instance read.
     virtual void applyOperatorRecords(const OperatorRecords &records) = 0;
 };
--- a/src/gateway/relay/keyedrecord.h
+++ b/src/gateway/relay/keyedrecord.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <compare>
-#include <cstdint>
-#include <optional>
+#include "gateway/relay/logposition.h"
+
 #include <string>
 
 namespace lycheebay {
@@ -14,7 +13,7 @@
     /// Null if the record deletes the key.
     std::optional<std::string> value;
     /// Position of the record in the log.
-    std::uint64_t offset = 0;
+    LogPosition position;
 
     auto operator<=>(const KeyedRecord &) const = default;
 };
--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -16,7 +16,10 @@
     }
     if (update.complete) {
         for (auto &[key, record] : m_records) {
-            if (updatedKeys.contains(key) || !record.value || record.offset >= update.position)
+            // A list of a later era may come from a copy that lacks the record.
+            const bool isDeleted =
+                    record.position.era == update.position.era && record.position < update.position;
+            if (updatedKeys.contains(key) || !record.value || !isDeleted)
                 continue;
             record.value.reset();
             changed.push_back(record);
@@ -33,7 +36,7 @@
         m_records.emplace(record.key, record);
         return true;
     }
-    if (record.offset <= existing->second.offset)
+    if (record.position <= existing->second.position)
         return false;
     existing->second = record;
     return true;
@@ -45,11 +48,11 @@
     return it == m_records.end() ? nullptr : &it->second;
 }
 
-OperatorRecords OperatorRecordTable::recordsSince(std::uint64_t since) const
+OperatorRecords OperatorRecordTable::recordsSince(const LogPosition &since) const
 {
-    OperatorRecords result{ m_position, since == 0, {} };
+    OperatorRecords result{ m_position, since == LogPosition(), {} };
     for (const auto &[key, record] : m_records) {
-        if (record.offset >= since)
+        if (record.position >= since)
             result.records.push_back(record);
     }
     return result;
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -11,10 +11,10 @@
 /// The gateway forwards the records without interpreting them; the platform's adapter does that.
 struct OperatorRecords
 {
-    /// Offset after the last known record; 0 before the first read.
-    std::uint64_t position = 0;
+    /// Position after the last known record; the lowest one before the first read.
+    LogPosition position;
     /// True if the records cover every key. Keys that are missing and whose last record is older
-    /// than \c position are then deleted.
+    /// than \c position are then deleted, unless that record is of an earlier era.
     bool complete = false;
     std::vector<KeyedRecord> records;
 
@@ -31,18 +31,18 @@
     std::vector<KeyedRecord> apply(const OperatorRecords &update);
     /// Returns the newest known record of a key, also a deletion; null if there is none.
     const KeyedRecord *find(const std::string &key) const;
-    /// Returns the records with an offset of at least \a since. The result is complete if \a since
-    /// is 0.
-    OperatorRecords recordsSince(std::uint64_t since) const;
-    /// Offset after the last known record; never decreases.
-    std::uint64_t position() const { return m_position; }
+    /// Returns the records from position \a since on. The result is complete if \a since is the
+    /// lowest position.
+    OperatorRecords recordsSince(const LogPosition &since) const;
+    /// Position after the last known record; never decreases.
+    const LogPosition &position() const { return m_position; }
 
 private:
     bool put(const KeyedRecord &record);
 
     /// Deleted keys stay in the map as records without a value.
     std::map<std::string, KeyedRecord> m_records;
-    std::uint64_t m_position = 0;
+    LogPosition m_position;
 };
 
 } // namespace lycheebay
--- a/src/gateway/relay/recordcompressor.cpp
+++ b/src/gateway/relay/recordcompressor.cpp
@@ -33,10 +33,10 @@
 const CompressedValue &RecordCompressor::compress(const KeyedRecord &record)
 {
     const auto cached = m_newest.find(record.key);
-    if (cached != m_newest.end() && cached->second.offset == record.offset)
+    if (cached != m_newest.end() && cached->second.position == record.position)
         return cached->second.value;
     Entry &entry = m_newest[record.key];
-    entry = { record.offset, compressValue(*record.value) };
+    entry = { record.position, compressValue(*record.value) };
     return entry.value;
 }
 
--- a/src/gateway/relay/recordcompressor.h
+++ b/src/gateway/relay/recordcompressor.h
@@ -33,7 +33,7 @@
 private:
     struct Entry
     {
-        std::uint64_t offset = 0;
+        LogPosition position;
         CompressedValue value;
     };
     std::map<std::string, Entry> m_newest;
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(EstateCoordinatorTest);
     CPPUNIT_TEST(updatesAreDecodedAsEncoded);
+    CPPUNIT_TEST(positionsWithoutAnEraBelongToTheKnownOne);
     CPPUNIT_TEST(malformedFramesAreRejected);
     CPPUNIT_TEST(diffTurnsOneListIntoTheOther);
     CPPUNIT_TEST(formerReaderSendsTheListToItsFollowers);
@@ -51,6 +52,8 @@
     CPPUNIT_TEST(emptyListReplacesAKnownOne);
     CPPUNIT_TEST_SUITE_END();
 
+    static LogPosition at(std::uint64_t offset) { return { 1, offset }; }
+
     struct FakeSource final : public IEstateSource
     {
         void start(IEstateSourceListener &it) override { listener = &it; }
@@ -60,8 +63,8 @@
             if (onRead)
                 onRead();
         }
-        std::uint64_t targetsPosition() const override { return position; }
-        void adoptTargets(const TargetList &it, std::uint64_t to, TimePoint) override
+        LogPosition targetsPosition() const override { return position; }
+        void adoptTargets(const TargetList &it, const LogPosition &to, TimePoint) override
         {
             adopted = it.targets;
             position = to;
@@ -69,8 +72,8 @@
         void readInstances() override { ++instanceReads; }
         void setOperatorPollTimeout(std::optional<Duration> it) override { pollTimeout = it; }
         std::optional<TimePoint> operatorRecordsReadAt() const override { return readAt; }
-        std::uint64_t operatorRecordsPosition() const override { return records.position(); }
-        OperatorRecords operatorRecordsSince(std::uint64_t since) const override
+        LogPosition operatorRecordsPosition() const override { return records.position(); }
+        OperatorRecords operatorRecordsSince(const LogPosition &since) const override
         {
             return records.recordsSince(since);
         }
@@ -81,7 +84,7 @@
         std::function<void()> onRead;
         int reads = 0;
         int instanceReads = 0;
-        std::uint64_t position = 0;
+        LogPosition position;
         std::vector<TargetRecord> adopted;
         std::optional<Duration> pollTimeout = 0s;
         std::optional<TimePoint> readAt;
@@ -187,7 +190,7 @@
         m_reader->coordinator.linkOpened(kLink, false, {});
         m_follower->coordinator.linkOpened(kLink, true, {});
         for (Instance *it : { m_reader.get(), m_follower.get() })
-            it->source.records.apply({ 1, true, { { "config", "first", 0 } } });
+            it->source.records.apply({ at(1), true, { { "config", "first", at(0) } } });
     }
 
     /// Lets the platform answer the reads of \a instance from now on, with a list that does not yet
@@ -401,7 +404,7 @@
     {
         m_reader = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.2:80");
         m_follower = std::make_unique<Instance>(*m_loop, m_random, "10.0.0.1:80");
-        m_reader->source.records.apply({ 1, true, { { "config", "first", 0 } } });
+        m_reader->source.records.apply({ at(1), true, { { "config", "first", at(0) } } });
         publishLargeInstances(*m_follower);
         const auto known = m_follower->blackboard.instances.read();
         m_follower->coordinator.linkOpened(kLink, true, {});
@@ -455,18 +458,20 @@
     void updatesAreDecodedAsEncoded()
     {
         const TimePoint now = m_loop->clock.now();
-        const EstateUpdate update{
-            now - 120ms,
-            { 42, true, { { "config", std::string(5000, 'x'), 40 }, { "drain/d", {}, 41 } } },
-            77,
-            TargetListDiff{ makeTargetList("t")->targets, { "old" } },
-            InstanceListDiff{ { { "i", { "10.0.0.1", 80 }, "d" } }, { "j" } },
-            { { "home", 0.25 } },
-            9,
-            { { "far", 4, 5 } },
-            { { { 77, 2, 30s, { "far" } } }, { "t@5" } },
-            "q"
-        };
+        const EstateUpdate update{ now - 120ms,
+                                   { at(42),
+                                     true,
+                                     { { "config", std::string(5000, 'x'), { std::nullopt, 40 } },
+                                       { "drain/d", {}, { 0, 41 } } } },
+                                   { 3, 77 },
+                                   TargetListDiff{ makeTargetList("t")->targets, { "old" } },
+                                   InstanceListDiff{ { { "i", { "10.0.0.1", 80 }, "d" } },
+                                                     { "j" } },
+                                   { { "home", 0.25 } },
+                                   9,
+                                   { { "far", 4, 5 } },
+                                   { { { 77, 2, 30s, { "far" } } }, { "t@5" } },
+                                   "q" };
         const TimePoint later = now + 1h; // the other instance's clock
         const auto decoded = decodeUpdate(encodeUpdate(update, now, m_compressor), later);
         CPPUNIT_ASSERT(decoded.ok());
@@ -475,6 +480,25 @@
         CPPUNIT_ASSERT(expected == *decoded);
     }
 
+    // Guards against a follower that ignores the updates of a reader of an earlier version.
+    void positionsWithoutAnEraBelongToTheKnownOne()
+    {
+        makePair();
+        m_follower->source.position = { 2, 5 };
+        EstateUpdate update;
+        update.asOf = m_loop->clock.now();
+        update.operatorRecords = { { std::nullopt, 9 },
+                                   false,
+                                   { { "config", "new", { std::nullopt, 8 } } } };
+        update.targetsPosition = { std::nullopt, 6 };
+        update.targets = TargetListDiff{ makeTargetList("t")->targets, {} };
+        const std::string frame = encodeUpdate(update, update.asOf, m_compressor);
+        CPPUNIT_ASSERT(m_follower->coordinator.frameReceived(kLink, frame).ok());
+        CPPUNIT_ASSERT(at(9) == m_follower->source.records.position());
+        CPPUNIT_ASSERT(m_follower->source.records.find("config")->value == "new");
+        CPPUNIT_ASSERT(LogPosition(2, 6) == m_follower->source.position);
+    }
+
     void malformedFramesAreRejected()
     {
         const TimePoint now = m_loop->clock.now();
@@ -656,12 +680,12 @@
     {
         makePair();
         const std::string large(300'000, 'r');
-        m_reader->source.records.apply({ 9, false, { { "config", large, 8 } } });
+        m_reader->source.records.apply({ at(9), false, { { "config", large, at(8) } } });
         m_reader->reportTargets("t");
         CPPUNIT_ASSERT(m_reader->links.sent.at(0).second.size() < large.size() / 10);
         deliverFrames();
-        const OperatorRecords known = m_follower->source.records.recordsSince(0);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, known.position);
+        const OperatorRecords known = m_follower->source.records.recordsSince(LogPosition());
+        CPPUNIT_ASSERT(at(9) == known.position);
         CPPUNIT_ASSERT(known.records.at(0).value == large);
         m_reader->reportTargets("t");
         const auto next = decodeUpdate(m_reader->links.sent.at(0).second, m_loop->clock.now());
--- a/src/gateway/tests/operatorrecordstest.cpp
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -16,10 +16,12 @@
     CPPUNIT_TEST(malformedCompressedValuesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
+    static LogPosition at(std::uint64_t offset) { return { 1, offset }; }
+
     static std::map<std::string, std::string> valuesOf(const OperatorRecordTable &table)
     {
         std::map<std::string, std::string> values;
-        for (const KeyedRecord &it : table.recordsSince(0).records) {
+        for (const KeyedRecord &it : table.recordsSince(LogPosition()).records) {
             if (it.value)
                 values[it.key] = *it.value;
         }
@@ -33,10 +35,10 @@
     {
         OperatorRecordTable table;
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
-                             table.apply({ 8, false, { { "a", "2", 7 } } }).size());
-        CPPUNIT_ASSERT(table.apply({ 6, false, { { "a", "1", 5 } } }).empty());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 8 }, table.position());
-        CPPUNIT_ASSERT(table.recordsSince(8).records.empty());
+                             table.apply({ at(8), false, { { "a", "2", at(7) } } }).size());
+        CPPUNIT_ASSERT(table.apply({ at(6), false, { { "a", "1", at(5) } } }).empty());
+        CPPUNIT_ASSERT(at(8) == table.position());
+        CPPUNIT_ASSERT(table.recordsSince(at(8)).records.empty());
     }
 
     // Guards against a drain that stays in force at an instance that missed its end, and against a
@@ -44,9 +46,9 @@
     void completeUpdateDeletesMissingKeys()
     {
         OperatorRecordTable table;
-        table.apply({ 4, true, { { "a", "1", 2 }, { "b", "1", 3 } } });
-        table.apply({ 10, false, { { "c", "1", 9 } } });
-        const auto changed = table.apply({ 8, true, { { "b", "1", 3 } } });
+        table.apply({ at(4), true, { { "a", "1", at(2) }, { "b", "1", at(3) } } });
+        table.apply({ at(10), false, { { "c", "1", at(9) } } });
+        const auto changed = table.apply({ at(8), true, { { "b", "1", at(3) } } });
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
         CPPUNIT_ASSERT(!changed[0].value);
         const std::map<std::string, std::string> expected{ { "b", "1" }, { "c", "1" } };
@@ -62,33 +64,33 @@
             std::vector<KeyedRecord> log;
             OperatorRecordTable reader;
             OperatorRecordTable follower;
-            std::uint64_t sentPosition = 0;
+            LogPosition sentPosition;
             for (int step = 0; step < 40; ++step) {
                 const std::string key = "k" + std::to_string(random.below(4));
                 std::optional<std::string> value;
                 if (random.below(3) > 0)
                     value = std::to_string(step);
-                log.push_back({ key, value, log.size() });
+                log.push_back({ key, value, at(log.size()) });
                 if (random.below(2) == 0) {
-                    const auto from = static_cast<std::ptrdiff_t>(reader.position());
-                    reader.apply({ log.size(), false, { log.begin() + from, log.end() } });
+                    const auto from = static_cast<std::ptrdiff_t>(reader.position().offset);
+                    reader.apply({ at(log.size()), false, { log.begin() + from, log.end() } });
                 }
                 if (random.below(4) == 0) {
-                    const auto from = static_cast<std::ptrdiff_t>(follower.position());
-                    follower.apply({ log.size(), false, { log.begin() + from, log.end() } });
+                    const auto from = static_cast<std::ptrdiff_t>(follower.position().offset);
+                    follower.apply({ at(log.size()), false, { log.begin() + from, log.end() } });
                 }
                 if (random.below(8) == 0)
-                    sentPosition = 0; // a new link
+                    sentPosition = LogPosition(); // a new link
                 if (random.below(2) == 0) {
                     follower.apply(reader.recordsSince(sentPosition));
                     sentPosition = reader.position();
                 }
             }
-            const auto from = static_cast<std::ptrdiff_t>(reader.position());
-            reader.apply({ log.size(), false, { log.begin() + from, log.end() } });
+            const auto from = static_cast<std::ptrdiff_t>(reader.position().offset);
+            reader.apply({ at(log.size()), false, { log.begin() + from, log.end() } });
             follower.apply(reader.recordsSince(sentPosition));
             CPPUNIT_ASSERT(valuesOf(reader) == valuesOf(follower));
-            CPPUNIT_ASSERT_EQUAL(reader.position(), follower.position());
+            CPPUNIT_ASSERT(reader.position() == follower.position());
         }
     }
 
@@ -100,13 +102,14 @@
             large +=
                     R"({"name":"r-)" + std::to_string(i) + R"(","kind":"safe","timeout":"2500ms"})";
         for (const std::string &value : { std::string(), std::string("short"), large }) {
-            const CompressedValue compressed = compressor.compress({ "a", value, value.size() });
+            const CompressedValue compressed =
+                    compressor.compress({ "a", value, at(value.size()) });
             const auto decompressed =
                     decompressValue(compressed.bytes, compressed.uncompressedSize);
             CPPUNIT_ASSERT(decompressed.ok());
             CPPUNIT_ASSERT(*decompressed == value);
         }
-        CPPUNIT_ASSERT(compressor.compress({ "a", large, large.size() }).bytes.size()
+        CPPUNIT_ASSERT(compressor.compress({ "a", large, at(large.size()) }).bytes.size()
                        < large.size() / 5);
     }
 
@@ -114,7 +117,7 @@
     {
         RecordCompressor compressor;
         const std::string large(4000, 'a');
-        const CompressedValue compressed = compressor.compress({ "a", large, 1 });
+        const CompressedValue compressed = compressor.compress({ "a", large, at(1) });
         CPPUNIT_ASSERT(!decompressValue("not zlib", 100).ok());
         CPPUNIT_ASSERT(!decompressValue(compressed.bytes, large.size() - 1).ok());
         CPPUNIT_ASSERT(!decompressValue(compressed.bytes, large.size() + 1).ok());
