Let the version decide between configurations of two eras

A drain that the copy lacks and that nobody writes again would hold for ever.

Cause: the table took the record with the later position, whatever it says. Across eras a later position does not mean a newer record.

A policy of the adapter now decides: within an era the position, between eras the version of the configuration; a later version is taken at any position. Of drains the later record counts, since one that is listed may have begun after the return.

--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -36,12 +36,35 @@
         m_records.emplace(record.key, record);
         return true;
     }
-    if (record.position <= existing->second.position)
+    if (!m_policy.replaces(existing->second, record))
         return false;
     existing->second = record;
     return true;
 }
 
+bool OperatorRecordTable::isUnconfirmed(const KeyedRecord &record) const
+{
+    return record.value && record.position.era < m_position.era && m_policy.lapses(record);
+}
+
+bool OperatorRecordTable::hasUnconfirmed() const
+{
+    return std::any_of(m_records.begin(), m_records.end(),
+                       [this](const auto &it) { return isUnconfirmed(it.second); });
+}
+
+std::vector<KeyedRecord> OperatorRecordTable::removeUnconfirmed()
+{
+    std::vector<KeyedRecord> removed;
+    for (auto &[key, record] : m_records) {
+        if (!isUnconfirmed(record))
+            continue;
+        record.value.reset();
+        removed.push_back(record);
+    }
+    return removed;
+}
+
 const KeyedRecord *OperatorRecordTable::find(const std::string &key) const
 {
     const auto it = m_records.find(key);
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/relay/keyedrecord.h"
+#include "gateway/relay/irecordpolicy.h"
 
 #include <map>
 #include <vector>
@@ -21,14 +21,23 @@
     auto operator<=>(const OperatorRecords &) const = default;
 };
 
-/// Holds the newest record of each key. A record never replaces a newer one, so records that were
-/// read from the platform and records received from the reader can be applied in any order. Not
-/// thread-safe.
+/// Holds the newest record of each key. A policy tells which one that is, so records that were read
+/// from the platform and records received from the reader can be applied in any order. Records of
+/// earlier eras hold until they are written again, or until removeUnconfirmed(). Not thread-safe.
 class OperatorRecordTable final
 {
 public:
+    /// Precondition: \a policy outlives the table.
+    explicit OperatorRecordTable(const IRecordPolicy &policy)
+        : m_policy(policy)
+    {}
+
     /// Applies records and returns those that changed the table, including deletions of keys.
     std::vector<KeyedRecord> apply(const OperatorRecords &update);
+    /// True if a record of an earlier era holds that lapses unless it is written again.
+    bool hasUnconfirmed() const;
+    /// Deletes those records and returns them, without their values.
+    std::vector<KeyedRecord> removeUnconfirmed();
     /// Returns the newest known record of a key, also a deletion; null if there is none.
     const KeyedRecord *find(const std::string &key) const;
     /// Returns the records from position \a since on. The result is complete if \a since is the
@@ -39,6 +48,9 @@
 
 private:
     bool put(const KeyedRecord &record);
+    bool isUnconfirmed(const KeyedRecord &record) const;
+
+    const IRecordPolicy &m_policy;
 
     /// Deleted keys stay in the map as records without a value.
     std::map<std::string, KeyedRecord> m_records;
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -88,7 +88,8 @@
         std::vector<TargetRecord> adopted;
         std::optional<Duration> pollTimeout = 0s;
         std::optional<TimePoint> readAt;
-        OperatorRecordTable records;
+        const PositionPolicy policy;
+        OperatorRecordTable records{ policy };
     };
 
     struct FakeLinks final : public IPeerLinks
--- a/src/gateway/tests/operatorrecordstest.cpp
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(malformedCompressedValuesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
+    const PositionPolicy m_policy;
+
     static LogPosition at(std::uint64_t offset) { return { 1, offset }; }
 
     static std::map<std::string, std::string> valuesOf(const OperatorRecordTable &table)
@@ -33,7 +35,7 @@
     // arrived.
     void olderRecordsAreIgnored()
     {
-        OperatorRecordTable table;
+        OperatorRecordTable table{ m_policy };
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
                              table.apply({ at(8), false, { { "a", "2", at(7) } } }).size());
         CPPUNIT_ASSERT(table.apply({ at(6), false, { { "a", "1", at(5) } } }).empty());
@@ -45,7 +47,7 @@
     // drain that is lost because an older list does not contain it.
     void completeUpdateDeletesMissingKeys()
     {
-        OperatorRecordTable table;
+        OperatorRecordTable table{ m_policy };
         table.apply({ at(4), true, { { "a", "1", at(2) }, { "b", "1", at(3) } } });
         table.apply({ at(10), false, { { "c", "1", at(9) } } });
         const auto changed = table.apply({ at(8), true, { { "b", "1", at(3) } } });
@@ -62,8 +64,8 @@
         SeededRandom random(11);
         for (int round = 0; round < 200; ++round) {
             std::vector<KeyedRecord> log;
-            OperatorRecordTable reader;
-            OperatorRecordTable follower;
+            OperatorRecordTable reader{ m_policy };
+            OperatorRecordTable follower{ m_policy };
             LogPosition sentPosition;
             for (int step = 0; step < 40; ++step) {
                 const std::string key = "k" + std::to_string(random.below(4));
