Pass on a deletion that was found by a missing key

Callers of a follower could be kept away from a failure domain whose drain had ended: its reader had missed the end, found the key missing in a listing, and did not pass that on.

Cause: updates held the records from the position that was sent last on, and a deletion that is found by a missing key has no position of its own.

The table counts its changes, and an update holds what changed since the count that was sent last. A deletion at the position of the record that it ends is taken over.

--- a/src/gateway/relay/estatecoordinator.h
+++ b/src/gateway/relay/estatecoordinator.h
@@ -87,7 +87,7 @@
     /// once: the sender does not know it yet, which is different from an empty list.
     struct SyncedState
     {
-        LogPosition operatorRecordsPosition;
+        std::uint64_t operatorRecordsRevision = 0;
         std::optional<std::vector<TargetRecord>> targets;
         std::optional<std::vector<GatewayInstance>> instances;
     };
--- a/src/gateway/relay/estatecoordinatorupdates.cpp
+++ b/src/gateway/relay/estatecoordinatorupdates.cpp
@@ -68,9 +68,9 @@
     EstateUpdate update;
     // Followers rely on the update for the targets and the operator's records alike.
     update.asOf = std::min(*m_asOf, *m_source.operatorRecordsReadAt());
-    update.operatorRecords = m_source.operatorRecordsSince(sent.operatorRecordsPosition);
+    update.operatorRecords = m_source.operatorRecordsSince(sent.operatorRecordsRevision);
     update.targetsPosition = m_source.targetsPosition();
-    sent.operatorRecordsPosition = update.operatorRecords.position;
+    sent.operatorRecordsRevision = m_source.operatorRecordsRevision();
     if (const auto targets = m_blackboard.targets.read())
         update.targets = syncList(sent.targets, targets->targets);
     if (const auto instances = m_blackboard.instances.read())
--- a/src/gateway/relay/iestatesource.h
+++ b/src/gateway/relay/iestatesource.h
@@ -55,8 +55,10 @@
     virtual std::optional<TimePoint> operatorRecordsReadAt() const = 0;
     /// Position after the last known record of the operator; the lowest one before the first read.
     virtual LogPosition operatorRecordsPosition() const = 0;
-    /// Returns the operator's records from position \a since on.
-    virtual OperatorRecords operatorRecordsSince(const LogPosition &since) const = 0;
+    /// Number of changes of the operator's records that are known here.
+    virtual std::uint64_t operatorRecordsRevision() const = 0;
+    /// Returns the operator's records that changed after \a revision.
+    virtual OperatorRecords operatorRecordsSince(std::uint64_t revision) const = 0;
     /// Applies records that another instance read.
     virtual void applyOperatorRecords(const OperatorRecords &records) = 0;
 };
--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -15,13 +15,14 @@
             changed.push_back(it);
     }
     if (update.complete) {
-        for (auto &[key, record] : m_records) {
+        for (auto &[key, entry] : m_records) {
+            const KeyedRecord &record = entry.record;
             // A list of a later era may come from a copy that lacks the record.
             const bool isDeleted =
                     record.position.era == update.position.era && record.position < update.position;
             if (updatedKeys.contains(key) || !record.value || !isDeleted)
                 continue;
-            record.value.reset();
+            remove(entry);
             changed.push_back(record);
         }
     }
@@ -31,17 +32,25 @@
 
 bool OperatorRecordTable::put(const KeyedRecord &record)
 {
-    const auto existing = m_records.find(record.key);
-    if (existing == m_records.end()) {
-        m_records.emplace(record.key, record);
-        return true;
+    const auto [it, isNew] = m_records.try_emplace(record.key);
+    KeyedRecord &known = it->second.record;
+    if (!isNew) {
+        // Another instance has found the key missing.
+        const bool wasRemoved = record.position == known.position && known.value && !record.value;
+        if (!wasRemoved && !m_policy.replaces(known, record))
+            return false;
     }
-    if (!m_policy.replaces(existing->second, record))
-        return false;
-    existing->second = record;
+    known = record;
+    it->second.revision = ++m_revision;
     return true;
 }
 
+void OperatorRecordTable::remove(Entry &entry)
+{
+    entry.record.value.reset();
+    entry.revision = ++m_revision;
+}
+
 bool OperatorRecordTable::isUnconfirmed(const KeyedRecord &record) const
 {
     return record.value && record.position.era < m_position.era && m_policy.lapses(record);
@@ -50,17 +59,17 @@
 bool OperatorRecordTable::hasUnconfirmed() const
 {
     return std::any_of(m_records.begin(), m_records.end(),
-                       [this](const auto &it) { return isUnconfirmed(it.second); });
+                       [this](const auto &it) { return isUnconfirmed(it.second.record); });
 }
 
 std::vector<KeyedRecord> OperatorRecordTable::removeUnconfirmed()
 {
     std::vector<KeyedRecord> removed;
-    for (auto &[key, record] : m_records) {
-        if (!isUnconfirmed(record))
+    for (auto &[key, entry] : m_records) {
+        if (!isUnconfirmed(entry.record))
             continue;
-        record.value.reset();
-        removed.push_back(record);
+        remove(entry);
+        removed.push_back(entry.record);
     }
     return removed;
 }
@@ -68,15 +77,15 @@
 const KeyedRecord *OperatorRecordTable::find(const std::string &key) const
 {
     const auto it = m_records.find(key);
-    return it == m_records.end() ? nullptr : &it->second;
+    return it == m_records.end() ? nullptr : &it->second.record;
 }
 
-OperatorRecords OperatorRecordTable::recordsSince(const LogPosition &since) const
+OperatorRecords OperatorRecordTable::recordsSince(std::uint64_t revision) const
 {
-    OperatorRecords result{ m_position, since == LogPosition(), {} };
-    for (const auto &[key, record] : m_records) {
-        if (record.position >= since)
-            result.records.push_back(record);
+    OperatorRecords result{ m_position, revision == 0, {} };
+    for (const auto &[key, entry] : m_records) {
+        if (entry.revision > revision)
+            result.records.push_back(entry.record);
     }
     return result;
 }
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -40,21 +40,33 @@
     std::vector<KeyedRecord> removeUnconfirmed();
     /// Returns the newest known record of a key, also a deletion; null if there is none.
     const KeyedRecord *find(const std::string &key) const;
-    /// Returns the records from position \a since on. The result is complete if \a since is the
-    /// lowest position.
-    OperatorRecords recordsSince(const LogPosition &since) const;
+    /// Returns the records that changed after \a revision of this table. The result is complete if
+    /// \a revision is 0.
+    OperatorRecords recordsSince(std::uint64_t revision) const;
+    /// Number of changes so far. A deletion that was found by a missing key has no position in the
+    /// log, so positions do not tell what another instance lacks.
+    std::uint64_t revision() const { return m_revision; }
     /// Position after the last known record; never decreases.
     const LogPosition &position() const { return m_position; }
 
 private:
+    struct Entry
+    {
+        KeyedRecord record;
+        /// Revision of the table in which the record changed last.
+        std::uint64_t revision = 0;
+    };
+
+    void remove(Entry &entry);
     bool put(const KeyedRecord &record);
     bool isUnconfirmed(const KeyedRecord &record) const;
 
     const IRecordPolicy &m_policy;
 
     /// Deleted keys stay in the map as records without a value.
-    std::map<std::string, KeyedRecord> m_records;
+    std::map<std::string, Entry> m_records;
     LogPosition m_position;
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace lycheebay
--- a/src/gateway/tests/estatecoordinatortest.cpp
+++ b/src/gateway/tests/estatecoordinatortest.cpp
@@ -73,9 +73,10 @@
         void setOperatorPollTimeout(std::optional<Duration> it) override { pollTimeout = it; }
         std::optional<TimePoint> operatorRecordsReadAt() const override { return readAt; }
         LogPosition operatorRecordsPosition() const override { return records.position(); }
-        OperatorRecords operatorRecordsSince(const LogPosition &since) const override
+        std::uint64_t operatorRecordsRevision() const override { return records.revision(); }
+        OperatorRecords operatorRecordsSince(std::uint64_t revision) const override
         {
-            return records.recordsSince(since);
+            return records.recordsSince(revision);
         }
         void applyOperatorRecords(const OperatorRecords &it) override { records.apply(it); }
 
@@ -685,7 +686,7 @@
         m_reader->reportTargets("t");
         CPPUNIT_ASSERT(m_reader->links.sent.at(0).second.size() < large.size() / 10);
         deliverFrames();
-        const OperatorRecords known = m_follower->source.records.recordsSince(LogPosition());
+        const OperatorRecords known = m_follower->source.records.recordsSince(0);
         CPPUNIT_ASSERT(at(9) == known.position);
         CPPUNIT_ASSERT(known.records.at(0).value == large);
         m_reader->reportTargets("t");
--- a/src/gateway/tests/operatorrecordstest.cpp
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(OperatorRecordsTest);
     CPPUNIT_TEST(olderRecordsAreIgnored);
     CPPUNIT_TEST(completeUpdateDeletesMissingKeys);
+    CPPUNIT_TEST(deletionFoundByAMissingKeyIsPassedOn);
     CPPUNIT_TEST(readAndReceivedRecordsConverge);
     CPPUNIT_TEST(valuesSurviveCompression);
     CPPUNIT_TEST(malformedCompressedValuesAreRejected);
@@ -23,7 +24,7 @@
     static std::map<std::string, std::string> valuesOf(const OperatorRecordTable &table)
     {
         std::map<std::string, std::string> values;
-        for (const KeyedRecord &it : table.recordsSince(LogPosition()).records) {
+        for (const KeyedRecord &it : table.recordsSince(0).records) {
             if (it.value)
                 values[it.key] = *it.value;
         }
@@ -40,7 +41,7 @@
                              table.apply({ at(8), false, { { "a", "2", at(7) } } }).size());
         CPPUNIT_ASSERT(table.apply({ at(6), false, { { "a", "1", at(5) } } }).empty());
         CPPUNIT_ASSERT(at(8) == table.position());
-        CPPUNIT_ASSERT(table.recordsSince(at(8)).records.empty());
+        CPPUNIT_ASSERT(table.recordsSince(table.revision()).records.empty());
     }
 
     // Guards against a drain that stays in force at an instance that missed its end, and against a
@@ -57,6 +58,24 @@
         CPPUNIT_ASSERT(expected == valuesOf(table));
     }
 
+    // Guards against a drain that stays in force at the followers of an instance that missed its
+    // end and found it missing later.
+    void deletionFoundByAMissingKeyIsPassedOn()
+    {
+        OperatorRecordTable reader{ m_policy };
+        OperatorRecordTable follower{ m_policy };
+        reader.apply({ at(4), true, { { "a", "1", at(2) }, { "b", "1", at(3) } } });
+        follower.apply(reader.recordsSince(0));
+        const std::uint64_t sentRevision = reader.revision();
+        reader.apply({ at(8), true, { { "b", "1", at(3) } } });
+        follower.apply(reader.recordsSince(sentRevision));
+        CPPUNIT_ASSERT(valuesOf(reader) == valuesOf(follower));
+        // It can be written again.
+        reader.apply({ at(9), false, { { "a", "2", at(8) } } });
+        follower.apply(reader.recordsSince(sentRevision));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, valuesOf(follower).size());
+    }
+
     // Two instances read a log in random portions while the reader sends its records to the
     // follower.
     void readAndReceivedRecordsConverge()
@@ -66,7 +85,7 @@
             std::vector<KeyedRecord> log;
             OperatorRecordTable reader{ m_policy };
             OperatorRecordTable follower{ m_policy };
-            LogPosition sentPosition;
+            std::uint64_t sentRevision = 0;
             for (int step = 0; step < 40; ++step) {
                 const std::string key = "k" + std::to_string(random.below(4));
                 std::optional<std::string> value;
@@ -82,15 +101,15 @@
                     follower.apply({ at(log.size()), false, { log.begin() + from, log.end() } });
                 }
                 if (random.below(8) == 0)
-                    sentPosition = LogPosition(); // a new link
+                    sentRevision = 0; // a new link
                 if (random.below(2) == 0) {
-                    follower.apply(reader.recordsSince(sentPosition));
-                    sentPosition = reader.position();
+                    follower.apply(reader.recordsSince(sentRevision));
+                    sentRevision = reader.revision();
                 }
             }
             const auto from = static_cast<std::ptrdiff_t>(reader.position().offset);
             reader.apply({ at(log.size()), false, { log.begin() + from, log.end() } });
-            follower.apply(reader.recordsSince(sentPosition));
+            follower.apply(reader.recordsSince(sentRevision));
             CPPUNIT_ASSERT(valuesOf(reader) == valuesOf(follower));
             CPPUNIT_ASSERT(reader.position() == follower.position());
         }
