Pass on deletions that a listing has skipped

A drain could stay at a follower for good: the follower had read its begin itself, while its reader had missed both the begin and the end and then listed the topic, as each reader does after a return of the store.

Cause: updates hold the records that changed at the sender. What begins and ends between two of its reads never was there, so nothing was sent, but the update's position told the follower that it knew everything up to there.

The first update after a listing is complete: it names the keys of the records that were sent before, without their values, and what is missing is deleted. Instances of an earlier version ignore these names and are no worse off.

--- a/src/gateway/relay/estateupdate.cpp
+++ b/src/gateway/relay/estateupdate.cpp
@@ -228,15 +228,15 @@
 absl::Status decodeRecords(const relaywire::EstateUpdate &message, OperatorRecords &records)
 {
     records.position = { toStdOptional(message.operator_era()), message.operator_position() };
-    records.complete = message.operator_complete();
+    records.complete = message.operator_complete() || message.operator_other_keys();
+    absl::Status status = decodeNames(message.operator_other_keys(), records.otherKeys);
     if (!message.operator_records())
-        return absl::OkStatus();
+        return status;
     for (const relaywire::OperatorRecord *it : *message.operator_records()) {
-        absl::Status status = decodeRecord(*it, records);
-        if (!status.ok())
-            return status;
+        if (status.ok())
+            status = decodeRecord(*it, records);
     }
-    return absl::OkStatus();
+    return status;
 }
 
 std::unique_ptr<relaywire::OperatorRecordT> encodeRecord(const KeyedRecord &record,
@@ -339,7 +339,10 @@
     message.age_ms = toMsRoundedUp(now - update.asOf);
     message.operator_position = update.operatorRecords.position.offset;
     message.operator_era = toFlatOptional(update.operatorRecords.position.era);
-    message.operator_complete = update.operatorRecords.complete;
+    // An instance of an earlier version does not know the other keys.
+    message.operator_other_keys = update.operatorRecords.otherKeys;
+    message.operator_complete =
+            update.operatorRecords.complete && update.operatorRecords.otherKeys.empty();
     for (const KeyedRecord &it : update.operatorRecords.records)
         message.operator_records.push_back(encodeRecord(it, compressor));
     message.targets_position = update.targetsPosition.offset;
--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -14,7 +14,9 @@
         if (put(it))
             changed.push_back(it);
     }
+    updatedKeys.insert(update.otherKeys.begin(), update.otherKeys.end());
     if (update.complete) {
+        m_completeRevision = ++m_revision;
         for (auto &[key, entry] : m_records) {
             const KeyedRecord &record = entry.record;
             // A list of a later era may come from a copy that lacks the record.
@@ -32,19 +34,21 @@
 
 bool OperatorRecordTable::put(const KeyedRecord &record)
 {
-    const auto [it, isNew] = m_records.try_emplace(record.key);
-    KeyedRecord &known = it->second.record;
-    if (!isNew) {
-        // Another instance has found the key missing.
-        const bool wasRemoved = record.position == known.position && known.value && !record.value;
-        if (!wasRemoved && !m_policy.replaces(known, record))
-            return false;
-    }
-    known = record;
-    it->second.revision = ++m_revision;
+    const auto it = m_records.find(record.key);
+    const KeyedRecord *known = it == m_records.end() ? nullptr : &it->second.record;
+    if (known && !replaces(*known, record))
+        return false;
+    m_records[record.key] = { record, ++m_revision };
     return true;
 }
 
+bool OperatorRecordTable::replaces(const KeyedRecord &known, const KeyedRecord &record) const
+{
+    // Another instance has found the key missing.
+    const bool isRemoved = record.position == known.position && known.value && !record.value;
+    return isRemoved || m_policy.replaces(known, record);
+}
+
 void OperatorRecordTable::remove(Entry &entry)
 {
     entry.record.value.reset();
@@ -82,10 +86,12 @@
 
 OperatorRecords OperatorRecordTable::recordsSince(std::uint64_t revision) const
 {
-    OperatorRecords result{ m_position, revision == 0, {} };
+    OperatorRecords result{ m_position, revision == 0 || revision < m_completeRevision, {}, {} };
     for (const auto &[key, entry] : m_records) {
         if (entry.revision > revision)
             result.records.push_back(entry.record);
+        else if (result.complete && entry.record.value)
+            result.otherKeys.push_back(key);
     }
     return result;
 }
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -13,10 +13,12 @@
 {
     /// Position after the last known record; the lowest one before the first read.
     LogPosition position;
-    /// True if the records cover every key. Keys that are missing and whose last record is older
-    /// than \c position are then deleted, unless that record is of an earlier era.
+    /// True if the records and \c otherKeys cover every key. Keys that are missing and whose last
+    /// record is older than \c position are then deleted, unless that record is of an earlier era.
     bool complete = false;
     std::vector<KeyedRecord> records;
+    /// Keys of further records, which the receiver has.
+    std::vector<std::string> otherKeys{};
 
     auto operator<=>(const OperatorRecords &) const = default;
 };
@@ -41,7 +43,8 @@
     /// Returns the newest known record of a key, also a deletion; null if there is none.
     const KeyedRecord *find(const std::string &key) const;
     /// Returns the records that changed after \a revision of this table. The result is complete if
-    /// \a revision is 0.
+    /// \a revision is 0, or if a complete update was applied after it: what lies between that and
+    /// the records before it is not known, and another instance may have read it.
     OperatorRecords recordsSince(std::uint64_t revision) const;
     /// Number of changes so far. A deletion that was found by a missing key has no position in the
     /// log, so positions do not tell what another instance lacks.
@@ -59,6 +62,8 @@
 
     void remove(Entry &entry);
     bool put(const KeyedRecord &record);
+    /// Tells whether a record replaces the known one of its key.
+    bool replaces(const KeyedRecord &known, const KeyedRecord &record) const;
     bool isUnconfirmed(const KeyedRecord &record) const;
 
     const IRecordPolicy &m_policy;
@@ -67,6 +72,8 @@
     std::map<std::string, Entry> m_records;
     LogPosition m_position;
     std::uint64_t m_revision = 0;
+    /// Revision of the last complete update.
+    std::uint64_t m_completeRevision = 0;
 };
 
 } // namespace lycheebay
--- a/src/gateway/tests/operatorrecordstest.cpp
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(olderRecordsAreIgnored);
     CPPUNIT_TEST(completeUpdateDeletesMissingKeys);
     CPPUNIT_TEST(deletionFoundByAMissingKeyIsPassedOn);
+    CPPUNIT_TEST(deletionThatAListingSkipsIsPassedOn);
     CPPUNIT_TEST(readAndReceivedRecordsConverge);
     CPPUNIT_TEST(valuesSurviveCompression);
     CPPUNIT_TEST(malformedCompressedValuesAreRejected);
@@ -76,6 +77,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, valuesOf(follower).size());
     }
 
+    // Guards against a drain that stays at a follower that has read its begin, while its reader has
+    // read neither that nor the end.
+    void deletionThatAListingSkipsIsPassedOn()
+    {
+        OperatorRecordTable reader{ m_policy };
+        OperatorRecordTable follower{ m_policy };
+        reader.apply({ at(4), true, { { "b", "1", at(3) } } });
+        follower.apply(reader.recordsSince(0));
+        const std::uint64_t sentRevision = reader.revision();
+        follower.apply({ at(5), false, { { "a", "1", at(4) } } });
+        reader.apply({ at(8), true, { { "b", "1", at(3) }, { "c", "1", at(7) } } });
+        const OperatorRecords update = reader.recordsSince(sentRevision);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, update.records.size());
+        follower.apply(update);
+        CPPUNIT_ASSERT(valuesOf(reader) == valuesOf(follower));
+        CPPUNIT_ASSERT(reader.recordsSince(reader.revision()).records.empty());
+        CPPUNIT_ASSERT(!reader.recordsSince(reader.revision()).complete);
+    }
+
     // Two instances read a log in random portions while the reader sends its records to the
     // follower.
     void readAndReceivedRecordsConverge()
