Ignore records that were deleted before the known position

A drain that had ended could return at an instance that had listed the topic after the end: an update of an instance that lagged behind brought the drain's begin, and the end was not sent again.

Cause: a record of a key that the table does not know, or knows from an earlier era only, was taken over whatever its position. But a table holds all keys that exist at its position in that era, so a key that is not there was deleted before.

Such a record is ignored.

--- a/src/gateway/relay/keyedrecord.h
+++ b/src/gateway/relay/keyedrecord.h
@@ -13,7 +13,7 @@
     /// Null if the record deletes the key.
     std::optional<std::string> value;
     /// Position of the record in the log.
-    LogPosition position;
+    LogPosition position{};
 
     auto operator<=>(const KeyedRecord &) const = default;
 };
--- a/src/gateway/relay/operatorrecords.cpp
+++ b/src/gateway/relay/operatorrecords.cpp
@@ -36,7 +36,7 @@
 {
     const auto it = m_records.find(record.key);
     const KeyedRecord *known = it == m_records.end() ? nullptr : &it->second.record;
-    if (known && !replaces(*known, record))
+    if (wasDeleted(known, record) || (known && !replaces(*known, record)))
         return false;
     m_records[record.key] = { record, ++m_revision };
     return true;
@@ -49,6 +49,13 @@
     return isRemoved || m_policy.replaces(known, record);
 }
 
+bool OperatorRecordTable::wasDeleted(const KeyedRecord *known, const KeyedRecord &record) const
+{
+    // All keys that exist at the known position were seen in its era.
+    const bool isCovered = record.position.era == m_position.era && record.position < m_position;
+    return isCovered && (!known || known->position.era != record.position.era);
+}
+
 void OperatorRecordTable::remove(Entry &entry)
 {
     entry.record.value.reset();
--- a/src/gateway/relay/operatorrecords.h
+++ b/src/gateway/relay/operatorrecords.h
@@ -64,6 +64,9 @@
     bool put(const KeyedRecord &record);
     /// Tells whether a record replaces the known one of its key.
     bool replaces(const KeyedRecord &known, const KeyedRecord &record) const;
+    /// Tells whether a record was deleted before the known position, since its key was not found
+    /// there. \a known is the known record of the key; null if there is none.
+    bool wasDeleted(const KeyedRecord *known, const KeyedRecord &record) const;
     bool isUnconfirmed(const KeyedRecord &record) const;
 
     const IRecordPolicy &m_policy;
--- a/src/gateway/tests/operatorrecordstest.cpp
+++ b/src/gateway/tests/operatorrecordstest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(completeUpdateDeletesMissingKeys);
     CPPUNIT_TEST(deletionFoundByAMissingKeyIsPassedOn);
     CPPUNIT_TEST(deletionThatAListingSkipsIsPassedOn);
+    CPPUNIT_TEST(recordThatWasDeletedDoesNotReturn);
     CPPUNIT_TEST(readAndReceivedRecordsConverge);
     CPPUNIT_TEST(valuesSurviveCompression);
     CPPUNIT_TEST(malformedCompressedValuesAreRejected);
@@ -96,6 +97,16 @@
         CPPUNIT_ASSERT(!reader.recordsSince(reader.revision()).complete);
     }
 
+    // Guards against a drain that has ended and returns with an update that was on its way.
+    void recordThatWasDeletedDoesNotReturn()
+    {
+        OperatorRecordTable table{ m_policy };
+        table.apply({ at(8), true, { { "b", "1", at(7) } } });
+        CPPUNIT_ASSERT(table.apply({ at(5), false, { { "a", "1", at(4) } } }).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             table.apply({ at(9), false, { { "a", "1", at(8) } } }).size());
+    }
+
     // Two instances read a log in random portions while the reader sends its records to the
     // follower.
     void readAndReceivedRecordsConverge()
