--- a/review/stage2.h
+++ b/review/stage2.h
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -727,6 +728,8 @@
         char *const variables[] = { settings.data(), paths.data(), nullptr };
         m_pid = ::fork();
         if (m_pid == 0) {
+            // It must not outlive the case, whatever ends that.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             ::dup2(log, 1);
             ::dup2(log, 2);
             ::execve(program, arguments, variables);
