Review: a server that becomes cold again keeps its share of the traffic

Cause: a target that answers often is not probed, so the cold time in its health answers is not read; the one in its registration counts for new targets only.

Done: a script in which servers in use become cold, one after the other. The clients of the scripts for memory now stay below the speed of a link.

--- a/review/stage2.h
+++ b/review/stage2.h
@@ -593,8 +593,13 @@
         , m_slots(slots)
         , m_workMs(workMs)
     {}
+    /// Starts an incarnation that knows nothing of before.
     bool start()
     {
+        m_born = std::chrono::duration_cast<milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+        m_running = 0;
         return m_server.start(m_address, [this](Connection &it) { serve(it); });
     }
     void stop() { m_server.stop(); }
@@ -606,9 +611,15 @@
     std::string entry(const char *phase = "ready", int sequence = 1) const
     {
         return json{
-            { "service", m_service }, { "address", m_address.text() }, { "zone", m_zone },
-            { "version", "v1" },      { "max_concurrency", m_slots },  { "phase", phase },
-            { "warmup_left", "0ms" }, { "sequence", sequence },        { "born", m_born }
+            { "service", m_service },
+            { "address", m_address.text() },
+            { "zone", m_zone },
+            { "version", "v1" },
+            { "max_concurrency", m_slots },
+            { "phase", phase },
+            { "warmup_left", std::to_string(warmupLeft()) + "ms" },
+            { "sequence", sequence },
+            { "born", m_born.load() }
         }.dump();
     }
     std::string load() const
@@ -616,6 +627,9 @@
         return std::to_string(m_running.load()) + ",0," + std::to_string(m_slots) + ",100";
     }
     Runs &runs() { return m_runs; }
+    /// The server is cold from now on, and takes twice as long.
+    void becomeCold(int ms) { m_coldUntil = nowMs() + ms; }
+    long long warmupLeft() const { return std::max(0LL, m_coldUntil - nowMs()); }
     std::string answer(const std::string &id, const std::string &body = "done")
     {
         return serialize("HTTP/1.1 200 OK",
@@ -632,14 +646,19 @@
     }
 
 private:
+    static long long nowMs()
+    {
+        return std::chrono::duration_cast<milliseconds>(Clock::now().time_since_epoch()).count();
+    }
     void serve(Connection &connection)
     {
         Message request;
         while (connection.read(request)) {
             if (request.path() == "/healthz") {
-                if (!connection.write(
-                            serialize("HTTP/1.1 200 OK",
-                                      { { "Instance-Id", m_id }, { "Backend-Load", load() } }, "")))
+                Headers headers{ { "Instance-Id", m_id }, { "Backend-Load", load() } };
+                if (const auto left = warmupLeft(); left > 0)
+                    headers.emplace_back("Warmup-Ms", std::to_string(left));
+                if (!connection.write(serialize("HTTP/1.1 200 OK", headers, "")))
                     return;
                 continue;
             }
@@ -659,7 +678,7 @@
                 continue;
             }
             m_runs.add(id, m_id);
-            sleepMs(m_workMs);
+            sleepMs(warmupLeft() > 0 ? 2 * m_workMs : m_workMs);
             --m_running;
             if (!connection.write(answer(id, m_answerText)))
                 return;
@@ -673,10 +692,9 @@
     const Address m_address;
     const int m_slots;
     const int m_workMs;
-    const long long m_born = std::chrono::duration_cast<milliseconds>(
-                                     std::chrono::system_clock::now().time_since_epoch())
-                                     .count();
+    std::atomic<long long> m_born = 0;
     std::atomic<int> m_running = 0;
+    std::atomic<long long> m_coldUntil = 0;
     Hook m_hook;
     std::string m_answerText = "done";
     Server m_server;
@@ -832,6 +850,71 @@
     return message;
 }
 
+/// Clients that each send a body but for its last byte, and stay. One that the gateway answers or
+/// closes comes again, at most 200 a second.
+class OpenBodies
+{
+public:
+    OpenBodies(Address address, int count, std::size_t bodyBytes, const std::string &path,
+               const std::string &host, Record &record)
+        : m_address(std::move(address))
+        , m_head("POST " + path + " HTTP/1.1\r\nHost: " + host
+                 + "\r\nDeadline-Ms: 20000\r\nContent-Length: " + std::to_string(bodyBytes)
+                 + "\r\nAttempt-Id: open-")
+        , m_body(bodyBytes - 1, 'x')
+        , m_open(static_cast<std::size_t>(count))
+        , m_record(record)
+    {
+        m_thread = std::thread([this] { play(); });
+    }
+    ~OpenBodies()
+    {
+        m_running = false;
+        m_thread.join();
+    }
+
+private:
+    void play()
+    {
+        constexpr int kOpenedPerTurn = 4;
+        int opened = 0;
+        int ended = 0;
+        auto reported = Clock::now();
+        while (m_running) {
+            int fresh = 0;
+            for (auto &it : m_open) {
+                if (it) {
+                    char byte = 0;
+                    const ssize_t n = ::recv(it->fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+                    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+                        continue;
+                    it.reset();
+                    ++ended;
+                }
+                if (fresh++ >= kOpenedPerTurn)
+                    continue;
+                it = Connection::open(m_address);
+                if (it && !it->write(m_head + std::to_string(opened++) + "\r\n\r\n" + m_body))
+                    it.reset();
+            }
+            if (Clock::now() - reported > milliseconds(1000)) {
+                reported = Clock::now();
+                m_record.line("open bodies at %s: opened=%d ended_by_gateway=%d",
+                              m_address.text().c_str(), opened, ended);
+            }
+            sleepMs(20);
+        }
+    }
+
+    const Address m_address;
+    const std::string m_head;
+    const std::string m_body;
+    std::vector<std::unique_ptr<Connection>> m_open;
+    Record &m_record;
+    std::atomic<bool> m_running = true;
+    std::thread m_thread;
+};
+
 /// A temporary folder that is removed at the end.
 class Folder
 {
